--- /dev/null
+++ b/src/main/java/pondridge/Rules.java
@@ -0,0 +1,929 @@
+package pondridge;
+
+import java.util.ArrayDeque;
+import java.util.ArrayList;
+import java.util.Collections;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Random;
+import java.util.Set;
+import java.util.TreeMap;
+import java.util.TreeSet;
+
+/**
+ * Every decision of one sidecar. Interface, settings, events and actions are in {@code Balancer.java}.
+ *
+ * <p>The ordinary path is {@link Pattern#pick}: a randomly drawn fixed order over all ready servers, the less
+ * busy of the pointed entry and the next by this sidecar's own in-flight counts. All else either narrows who
+ * may take a request now (gates in {@link Roster}, {@link Health}, {@link Admission}) or keeps the
+ * books ({@link Ledger}). {@code docs/design.md} says where each departure acts and what it gained.
+ */
+public final class Rules implements Balancer {
+    private final Settings settings;
+    private final Actions actions;
+    private final Random random;
+    private final Pattern pattern = new Pattern();
+    private final Ledger ledger = new Ledger();
+    private final Roster roster;
+    private final Health health;
+    private final Admission admission;
+    private final Reports reports;
+    private final Alarms alarms;
+
+    /** One instance a sidecar: the seed is its only source of chance. */
+    public Rules(Settings settings, long seed, Actions actions) {
+        this.settings = settings;
+        this.actions = actions;
+        this.random = new Random(seed);
+        this.alarms = new Alarms(actions);
+        this.roster = new Roster();
+        this.health = new Health();
+        this.admission = new Admission();
+        this.reports = new Reports();
+    }
+
+    @Override
+    public void start(long now) {
+        roster.follow(now);
+        alarms.flush();
+    }
+
+    @Override
+    public void listChanged(long now, ListKind kind, List<Upstream> entries) {
+        roster.listChanged(now, kind, entries);
+        admission.drain(now);
+        alarms.flush();
+    }
+
+    @Override
+    public void request(long now, Request request) {
+        if (request.requestClass() >= settings.classes().size()) {
+            throw new IllegalArgumentException("request of unknown class " + request.requestClass());
+        }
+        Call call = ledger.open(now, request);
+        admission.admit(now, call);
+        alarms.flush();
+    }
+
+    @Override
+    public void firstByte(long now, long request, int attempt, long upstream, long elapsed) {
+        Call call = ledger.calls.get(request);
+        if (call != null && attempt < call.attempts.size()) {
+            call.streaming = true;
+        }
+    }
+
+    @Override
+    public void outcome(long now, long request, int attempt, long upstream, Outcome outcome, long elapsed,
+            boolean ended, float[] load) {
+        ledger.outcome(now, request, attempt, outcome, ended);
+        admission.drain(now);
+        alarms.flush();
+    }
+
+    @Override
+    public void probeResult(long now, long upstream, Outcome outcome, long elapsed, float[] load) {
+        Server server = roster.servers.get(upstream);
+        if (server != null) {
+            reports.told(now, server, outcome, load);
+        }
+        alarms.flush();
+    }
+
+    @Override
+    public void hangup(long now, long request) {
+        Call call = ledger.calls.get(request);
+        if (call != null) {
+            ledger.close(call);
+        }
+    }
+
+    @Override
+    public void timer(long now, long token) {
+        alarms.ring(now, token);
+        admission.drain(now);
+        alarms.flush();
+    }
+
+    /** The order, the pointer and the pick. */
+    private final class Pattern {
+        private final List<Server> order = new ArrayList<>();
+        private int pointer;
+
+        /** Draws a uniform permutation of all ready servers; the list comes sorted by id. */
+        void redraw(List<Server> ready) {
+            order.clear();
+            order.addAll(ready);
+            Collections.shuffle(order, random);
+            pointer = 0;
+        }
+
+        /**
+         * The less busy of the pointed entry and the next, a tie going to the pointed one; entries whose
+         * gates are shut to this request are passed over. Only first attempts turn the pointer: a walk for
+         * a further attempt sees few entries and would make the turns uneven. Null if all gates are shut.
+         */
+        Server pick(long now, Call call, boolean ignoreHealth) {
+            if (!call.attempts.isEmpty() && !ledger.mayTryAgain(now, call)) {
+                return null;
+            }
+            Server pointed = null;
+            Server passedOver = null;
+            int start = pointer;
+            for (int i = 0; i < order.size(); i++) {
+                int at = (start + i) % order.size();
+                Server server = order.get(at);
+                if (!mayTake(now, server, call, ignoreHealth)) {
+                    continue;
+                }
+                if (pointed != null) {
+                    return server.inFlight < pointed.inFlight ? server : pointed;
+                }
+                if (!takesTurn(server, call)) {
+                    passedOver = passedOver == null ? server : passedOver;
+                    continue;
+                }
+                pointed = server;
+                if (call.attempts.isEmpty()) {
+                    pointer = (at + 1) % order.size();
+                }
+            }
+            return pointed != null ? pointed : passedOver;
+        }
+
+        /** The next entries that could take this request, from the pointed one on. */
+        List<Server> ahead(long now, Call call, int most) {
+            List<Server> open = new ArrayList<>(most);
+            for (int i = 0; i < order.size() && open.size() < most; i++) {
+                Server server = order.get((pointer + i) % order.size());
+                if (mayTake(now, server, call, false)) {
+                    open.add(server);
+                }
+            }
+            return open;
+        }
+
+        /** A slow entry saves up for its turns and is passed over in between. */
+        private boolean takesTurn(Server server, Call call) {
+            server.credit += health.turnShare(server, call);
+            if (server.credit < 1) {
+                return false;
+            }
+            server.credit -= 1;
+            return true;
+        }
+    }
+
+    /** All gates, cheapest first. */
+    private boolean mayTake(long now, Server server, Call call, boolean ignoreHealth) {
+        return ledger.mayGoTo(call, server)
+                && server.inFlight < Math.max(1, (int) server.limit)
+                && (ignoreHealth || health.open(now, server, call) && !reports.crowded(server, call))
+                && roster.coldRoom(now, server, call);
+    }
+
+    /** What is known of one upstream. */
+    private static final class Server {
+        Upstream entry;
+        int inFlight;
+        long coldUntil;
+        double credit;
+        double coldTokens;
+        boolean coldMet;
+        long coldAt;
+        double load;
+        long integratedAt;
+        double exposure;
+        double heard;
+        int connectFailures;
+        long nextTrial;
+        long backoff;
+        double limit = Admission.FIRST_LIMIT;
+        long lastCut;
+        double holds = Double.MAX_VALUE;
+        final List<Call> askers = new ArrayList<>(2);
+
+        Server(Upstream entry, long now) {
+            this.entry = entry;
+            this.integratedAt = now;
+            this.coldAt = now;
+        }
+    }
+
+    private static final class Attempt {
+        final Server server;
+        final long sentAt;
+        final int crowd;
+        final double found;
+        boolean out = true;
+        boolean mayHaveRun = true;
+
+        Attempt(Server server, long sentAt) {
+            this.server = server;
+            this.sentAt = sentAt;
+            this.crowd = server.inFlight;
+            this.found = server.holds++;
+        }
+    }
+
+    private static final class Call {
+        final Request request;
+        final RequestClass kind;
+        final long deadline;
+        final long aim;
+        final long aimAt;
+        final List<Attempt> attempts = new ArrayList<>(2);
+        boolean closed;
+        boolean held;
+        boolean streaming;
+        boolean asked;
+        int pending;
+        List<Server> looked = List.of();
+        double bar;
+        double expected;
+
+        Call(Request request, RequestClass kind, long now, long elapsed) {
+            this.request = request;
+            this.kind = kind;
+            this.deadline = now + request.timeLeft();
+            double stretched = kind.aim() + kind.aimStretch() * request.costHint();
+            this.aim = (long) Math.min(stretched, kind.deadline());
+            this.aimAt = now - elapsed + Math.min(request.timeLeft() + elapsed, aim);
+        }
+
+        /** Whether the last attempt is out; there is never more than one. */
+        boolean waiting() {
+            return !attempts.isEmpty() && attempts.get(attempts.size() - 1).out;
+        }
+    }
+
+    /** Each request's attempts, what is proven of them, and its one answer. */
+    private final class Ledger {
+        private final Map<Long, Call> calls = new HashMap<>();
+
+        Call open(long now, Request request) {
+            Call call = new Call(request, settings.classes().get(request.requestClass()), now,
+                    admission.elapsed(request));
+            // Danger: answers of no time would bring alarms an expected time apart to a stand.
+            call.expected = Math.max(call.aim / 1000.0,
+                    health.usual[request.requestClass()].expected(request.costHint()));
+            calls.put(request.id(), call);
+            alarms.set(call.deadline, at -> {
+                if (!call.streaming) {
+                    answer(call);
+                }
+            });
+            return call;
+        }
+
+        /** The first attempt that may have run, or null while every one is proven not to have. */
+        private Attempt firstDoubt(Call call) {
+            for (Attempt attempt : call.attempts) {
+                if (attempt.mayHaveRun) {
+                    return attempt;
+                }
+            }
+            return null;
+        }
+
+        /** Whether some further attempt is allowed now, whichever server it goes to. */
+        boolean mayTryAgain(long now, Call call) {
+            if (call.closed || call.streaming || now >= call.deadline
+                    || call.waiting() || call.attempts.size() >= settings.allowed().tryLimit()) {
+                return false;
+            }
+            Attempt doubt = firstDoubt(call);
+            return doubt == null || switch (call.kind.semantics()) {
+                case REPEATABLE -> true;
+                case ONCE -> false;
+                // One quantum is kept back: the send takes effect at the end of this batch.
+                case BY_KEY -> now + settings.quantum() < doubt.sentAt + call.kind.keyTtl();
+            };
+        }
+
+        /** Whether the next attempt, if there may be one, may go to this server. */
+        boolean mayGoTo(Call call, Server server) {
+            for (Attempt attempt : call.attempts) {
+                if (attempt.server == server) {
+                    return false;
+                }
+            }
+            Attempt doubt = firstDoubt(call);
+            if (doubt == null || call.kind.semantics() != Semantics.BY_KEY) {
+                return true;
+            }
+            Upstream first = doubt.server.entry;
+            return switch (call.kind.scope()) {
+                case ALL -> true;
+                case ZONE -> first.zone() == server.entry.zone();
+                case CELL -> first.cell() == server.entry.cell();
+            };
+        }
+
+        /** The one place that sends. */
+        void send(long now, Call call, Server server) {
+            Attempt attempt = new Attempt(server, now);
+            call.attempts.add(attempt);
+            call.held = false;
+            call.asked = false;
+            call.looked = List.of();
+            health.sent(now, server, call);
+            server.coldTokens -= roster.work(call);
+            server.inFlight++;
+            // Danger: work past its aim keeps a core from work that can still be in time. It is given up only
+            // where looks show what an upstream holds; elsewhere given-up work would run on unseen.
+            boolean worthless = reports.looks() && call.kind.lateShare() == 0 && call.aimAt > now;
+            actions.send(call.request.id(), server.entry.id(), worthless ? call.aimAt - now : 0);
+        }
+
+        void outcome(long now, long id, int number, Outcome outcome, boolean ended) {
+            Call call = calls.get(id);
+            if (call == null || number >= call.attempts.size() || !call.attempts.get(number).out) {
+                return;
+            }
+            Attempt attempt = call.attempts.get(number);
+            attempt.out = false;
+            attempt.mayHaveRun = !outcome.provesNeverRan();
+            Server server = attempt.server;
+            server.inFlight--;
+            health.ended(now, attempt, outcome, call);
+            if (outcome != Outcome.CONNECT_FAILED) {
+                admission.ended(now, attempt, outcome, call);
+            }
+            if (outcome == Outcome.OK) {
+                roster.served.add(now, roster.work(call));
+            }
+            if (ended || call.closed) {
+                close(call);
+                return;
+            }
+            // Danger: held for a further attempt with every server tried, it would wait in vain.
+            if (mayTryAgain(now, call) && roster.ready.stream().anyMatch(next -> mayGoTo(call, next))
+                    && admission.worthRetry(now, call)) {
+                admission.admit(now, call);
+            } else {
+                answer(call);
+            }
+        }
+
+        /** Gives the final answer: refused where a client's retry is known to be harmless, else failed. */
+        void answer(Call call) {
+            if (call.closed) {
+                return;
+            }
+            boolean harmless = firstDoubt(call) == null || call.kind.semantics() == Semantics.REPEATABLE
+                    || call.kind.semantics() == Semantics.BY_KEY && call.kind.scope() == Scope.ALL;
+            if (harmless) {
+                actions.refuse(call.request.id(), admission.stayAway(call));
+            } else {
+                actions.fail(call.request.id());
+            }
+            close(call);
+        }
+
+        /** Nothing is sent for a closed request; its outstanding attempt still counts as in flight. */
+        void close(Call call) {
+            if (!call.closed && call.waiting() && !call.streaming && settings.allowed().cancel()) {
+                actions.cancel(call.request.id(), call.attempts.size() - 1);
+            }
+            call.closed = true;
+            call.held = false;
+            if (!call.waiting()) {
+                calls.remove(call.request.id());
+            }
+        }
+    }
+
+    /** The list, the subscription to it, and the budget of cold servers. */
+    private final class Roster {
+        private final TreeMap<Long, Server> servers = new TreeMap<>();
+        private List<Server> ready = List.of();
+        private boolean listed;
+        private final FadingSum served = new FadingSum(settings.limits().rampTime(), 0);
+        private long retryWait;
+        private long asked;
+
+        void follow(long now) {
+            if (settings.discovery() == Discovery.SUBSCRIBE) {
+                actions.subscribe(true);
+                followAgain(now + settings.limits().askWithin() / 2);
+            }
+        }
+
+        private void followAgain(long at) {
+            long mine = ++asked;
+            alarms.set(at, now -> {
+                if (mine == asked) {
+                    follow(now);
+                }
+            });
+        }
+
+        void listChanged(long now, ListKind kind, List<Upstream> entries) {
+            if (kind == ListKind.FAILED) {
+                // Danger: a broken subscription is silent from now on. Backs off, with jitter, so that many
+                // sidecars whose calls failed together do not hammer discovery together.
+                long base = Math.max(settings.quantum(), settings.limits().askWithin() / 40);
+                retryWait = Math.max(base, Math.min(retryWait * 2, settings.limits().askWithin() / 2));
+                followAgain(now + retryWait / 2 + random.nextLong(retryWait / 2 + 1));
+                return;
+            }
+            if (kind != ListKind.CACHED) {
+                asked++;
+                retryWait = 0;
+            }
+            Set<Long> missing = new TreeSet<>(kind == ListKind.DELTA ? Set.of() : servers.keySet());
+            boolean changed = false;
+            for (Upstream entry : entries) {
+                missing.remove(entry.id());
+                changed |= update(now, entry);
+            }
+            for (long id : missing) {
+                Server server = servers.get(id);
+                changed |= server.entry.state() == State.READY;
+                server.entry = server.entry.gone();
+            }
+            listed = true;
+            if (changed) {
+                ready = servers.values().stream().filter(s -> s.entry.state() == State.READY).toList();
+                pattern.redraw(ready);
+            }
+        }
+
+        /** Takes one line over; true if the set of ready servers changed. */
+        private boolean update(long now, Upstream entry) {
+            Server server = servers.get(entry.id());
+            boolean wasReady = server != null && server.entry.state() == State.READY;
+            // A restarted process shares nothing with the one before: not its load, nor its faults.
+            boolean fresh = server == null || entry.startedAt() > server.entry.startedAt();
+            if (fresh) {
+                long since = entry.startedAt() == 0 && listed ? now : entry.startedAt();
+                server = new Server(entry, now);
+                server.credit = random.nextDouble();
+                servers.put(entry.id(), server);
+                if (since > 0 && now < since + settings.limits().rampTime()) {
+                    server.coldUntil = since + settings.limits().rampTime();
+                }
+            }
+            server.entry = entry;
+            return fresh || wasReady != (entry.state() == State.READY);
+        }
+
+        /**
+         * Danger: a cold server falls over and stays down when all sidecars together overfill it. A share of
+         * what comparable servers are seen to serve FOR THIS SIDECAR is this sidecar's part, so the parts of
+         * all sum up to that share of a server's load, whoever sends how much.
+         */
+        boolean coldRoom(long now, Server server, Call call) {
+            if (now >= server.coldUntil) {
+                return true;
+            }
+            double warm = 1 - (server.coldUntil - now) / (double) settings.limits().rampTime();
+            double cold = settings.limits().coldShare();
+            double rate = comparable(now) * (cold + (1 - cold) * Math.max(0, Math.min(1, warm)));
+            if (rate == 0) {
+                // Nothing to compare with yet. Danger: one at a time is one from every sidecar at once, so a
+                // lone sidecar's habit pushes a cold server over; the warm ones take the request instead.
+                return server.inFlight == 0 && ready.stream().allMatch(other -> now < other.coldUntil);
+            }
+            if (!server.coldMet) {
+                // Danger: a first request free of charge comes from hundreds of sidecars together. Each
+                // starts somewhere within the debt of one request, so that their sum keeps to the rate.
+                server.coldMet = true;
+                server.coldTokens = -random.nextDouble() * work(call);
+            }
+            double depth = rate * settings.limits().tipAfter() / 2;
+            server.coldTokens = Math.min(depth, server.coldTokens + rate * (now - server.coldAt));
+            server.coldAt = now;
+            return server.coldTokens >= 0 && server.inFlight <= 1 + server.limit / 2;
+        }
+
+        /** Work a nanosecond that a warm server serves for this sidecar, on average. */
+        private double comparable(long now) {
+            long warm = ready.stream().filter(server -> now >= server.coldUntil).count();
+            return warm == 0 ? 0 : served.value(now) / warm / settings.limits().rampTime();
+        }
+
+        double work(Call call) {
+            return call.request.costHint() > 0 ? call.request.costHint() : call.expected;
+        }
+    }
+
+    /** Usual time to an answer of one class, and its growth with the hinted cost by least squares. */
+    private static final class Usual {
+        /** About the last 50 answers. */
+        private static final double NEW = 0.02;
+        double mean;
+        private long seen;
+        private double cost;
+        private double square;
+        private double cross;
+
+        Usual(double first) {
+            mean = first;
+        }
+
+        void learn(double took, double hint) {
+            // Cut at three times the expected: one slow server must not become what is usual.
+            double time = Math.min(took, 3 * expected(hint));
+            double part = Math.max(NEW, 1.0 / ++seen);
+            mean += part * (time - mean);
+            cost += part * (hint - cost);
+            square += part * (hint * hint - square);
+            cross += part * (time * hint - cross);
+        }
+
+        double expected(double hint) {
+            double spread = square - cost * cost;
+            if (hint <= 0 || spread <= 0) {
+                return mean;
+            }
+            double slope = Math.max(0, (cross - mean * cost) / spread);
+            return Math.max(mean / 4, mean + slope * (hint - cost));
+        }
+    }
+
+    /** What servers of one kind take to answer, in parts of what the class usually takes on any. */
+    private static final class Pace {
+        private double mean = 1;
+        private double seen = 2;
+
+        void learn(double ratio) {
+            seen++;
+            mean += Math.max(0.03, 1 / seen) * (Math.min(ratio, 4) - mean);
+        }
+    }
+
+    /** Evidence about each server, from this sidecar's own attempts. */
+    private final class Health {
+        /** Part of the aim: a kind that takes no more is far from its limit and takes every turn. */
+        private static final double EASY = 0.25;
+        private static final double STEEP = 1.4;
+        private final Map<Integer, Pace> paces = new TreeMap<>();
+        private double fastest = 1;
+
+        Pace pace(Server server) {
+            return paces.computeIfAbsent(server.entry.kind(), kind -> new Pace());
+        }
+
+        /**
+         * The part of its turns that a server takes. Danger: even turns give a slow machine as much work as a
+         * fast one, and with the fleet three quarters busy the slow kind has more than it can ever do. All
+         * turns while its kind answers well within the aim; else as the fastest kind's time is to its own,
+         * and somewhat fewer: at the same use, those who wait on a slow machine wait longer.
+         */
+        double turnShare(Server server, Call call) {
+            double pace = pace(server).mean;
+            return pace * call.expected < EASY * call.aim ? 1 : Math.min(1, Math.pow(fastest / pace, STEEP));
+        }
+
+        private void learnPace(Server server, double ratio) {
+            pace(server).learn(ratio);
+            fastest = paces.values().stream().mapToDouble(pace -> pace.mean).min().orElse(1);
+        }
+
+        /** A part of the aim: a server expected to take longer is of no use to the class. */
+        private static final double USELESS = 0.75;
+        /** Machines of one fleet differ about twofold from their mean; beyond that it is a fault. */
+        private static final double SLOW = 2;
+        /** Of each class, over all servers, starting from a tenth of its aim. */
+        private final Usual[] usual = new Usual[settings.classes().size()];
+        private final long firstBackoff;
+
+        Health() {
+            for (int i = 0; i < usual.length; i++) {
+                usual[i] = new Usual(settings.classes().get(i).aim() / 10.0);
+            }
+            firstBackoff = settings.classes().stream().mapToLong(RequestClass::aim).min().orElse(1);
+        }
+
+        private void integrate(long now, Server server) {
+            server.exposure += server.load * (now - server.integratedAt);
+            server.integratedAt = now;
+        }
+
+        void sent(long now, Server server, Call call) {
+            integrate(now, server);
+            server.load += 1 / call.expected;
+            if (server.nextTrial > 0) {
+                server.backoff = Math.min(server.backoff * 2, firstBackoff * 8);
+                server.nextTrial = now + server.backoff;
+            }
+        }
+
+        boolean open(long now, Server server, Call call) {
+            integrate(now, server);
+            boolean closed = server.connectFailures > 0
+                    || current(server) > SLOW && current(server) * call.expected > USELESS * call.aim;
+            if (!closed) {
+                server.nextTrial = 0;
+                return true;
+            }
+            if (server.nextTrial == 0) {
+                server.backoff = firstBackoff;
+                server.nextTrial = now + server.backoff;
+            }
+            return now >= server.nextTrial;
+        }
+
+        /** How many times slower than usual it answers; two answers are taken for granted. */
+        private double current(Server server) {
+            return (server.exposure + 2) / (server.heard + 2);
+        }
+
+        void ended(long now, Attempt attempt, Outcome outcome, Call call) {
+            Server server = attempt.server;
+            integrate(now, server);
+            server.load = server.inFlight == 0 ? 0 : Math.max(0, server.load - 1 / call.expected);
+            switch (outcome) {
+                case OK -> {
+                    reports.learn(attempt, now - attempt.sentAt);
+                    learnPace(server, (now - attempt.sentAt) / call.expected);
+                    usual[call.request.requestClass()].learn(now - attempt.sentAt, call.request.costHint());
+                    heard(server);
+                }
+                case ERROR, RESET -> {
+                    // Danger: fast errors empty the in-flight count and win turns. One is as bad as an answer
+                    // at twice the aim: a stray one shuts nothing, two in a row do.
+                    heard(server);
+                    server.exposure += 2 * call.aim / call.expected;
+                }
+                case CONNECT_FAILED -> server.connectFailures++;
+                default -> { }
+            }
+        }
+
+        private void heard(Server server) {
+            double keep = server.nextTrial > 0 ? 0.5 : 0.9;
+            server.exposure *= keep;
+            server.heard = server.heard * keep + 1;
+            server.connectFailures = 0;
+        }
+    }
+
+    /** One tenant's held work and what it has had lately of its quota. */
+    private static final class Share {
+        /**
+         * Newest first. Danger: first-in first-out under overload lets all wait until every answer is late,
+         * and stays so after the overload has gone; this way some wait in vain and the rest are in time.
+         */
+        private final ArrayDeque<Call> held = new ArrayDeque<>();
+        private final double quota;
+        private final FadingSum spent;
+        private long skippedAt;
+
+        Share(double quota, double window) {
+            this.quota = quota;
+            this.spent = new FadingSum(window, 0);
+        }
+
+        double used(long now) {
+            return spent.value(now) / quota;
+        }
+    }
+
+    /** Learned concurrency limits, held work, refusals, and the budget of further attempts. */
+    private final class Admission {
+        /** Room for two-choice to act; many sidecars start together, so no more before anything is known. */
+        static final double FIRST_LIMIT = 2;
+        /** Part of the aim: what takes longer leaves no time for a second try with its own delays. */
+        private static final double LATE = 0.4;
+        /** Enough that a jam of later tries does not unseat the first ones at once. */
+        private static final int MANY_VOTES = 1000;
+        /** Four in five in time is sound enough: the rest is chance and single faults. */
+        private static final double ENOUGH = 1.25;
+        private final Share[] shares = new Share[Math.max(1, settings.tenants().size())];
+        private int held;
+        private long drains;
+        private final long[] firstLeft = new long[settings.classes().size()];
+        private final int[] firstVotes = new int[settings.classes().size()];
+        /** Over eight aims: ten attempts at a few requests a second; one is taken for good at first. */
+        private final FadingSum tried = new FadingSum(8.0 * health.firstBackoff, 1);
+        private final FadingSum inTime = new FadingSum(8.0 * health.firstBackoff, 1);
+
+        Admission() {
+            for (int i = 0; i < shares.length; i++) {
+                double quota = settings.tenants().isEmpty() ? 1 : settings.tenants().get(i).quotaPerSecond();
+                // Four aims: long against answers, short against a burst of some seconds.
+                shares[i] = new Share(quota > 0 ? quota : 1, 4.0 * settings.classes().get(0).aim());
+            }
+        }
+
+        /**
+         * Time the client has spent on earlier tries. A first try has a fixed part of the deadline left, the
+         * same each time; a last one has what remains of the whole. The commonest value marks the first tries
+         * (it loses its place once two of three differ) and any other tells the time spent.
+         */
+        long elapsed(Request request) {
+            int kind = request.requestClass();
+            long left = request.timeLeft();
+            if (Math.abs(left - firstLeft[kind]) <= 2 * settings.quantum()) {
+                firstVotes[kind] = Math.min(firstVotes[kind] + 2, MANY_VOTES);
+                return 0;
+            }
+            if (--firstVotes[kind] < 0) {
+                firstLeft[kind] = left;
+                firstVotes[kind] = 0;
+                return 0;
+            }
+            return Math.max(0, settings.classes().get(kind).deadline() - left);
+        }
+
+        /** Sends a request now, or holds it while it can still be answered within its aim. */
+        void admit(long now, Call call) {
+            if (now >= call.deadline || roster.ready.isEmpty()) {
+                ledger.answer(call);
+                return;
+            }
+            int ease = call.request.clientRetry() ? 3 : 1;
+            if (call.attempts.isEmpty() && !call.asked && random.nextDouble() < ease * shedding(now)) {
+                ledger.answer(call);
+                return;
+            }
+            if (reports.ask(now, call)) {
+                return;
+            }
+            if (call.attempts.isEmpty() && now + call.expected / 2 >= call.aimAt) {
+                ledger.answer(call);  // a client's later try that can hardly be in time
+            } else if (held > 0 || !place(now, call)) {
+                call.held = true;
+                share(call).held.push(call);
+                held++;
+                long hopeless = call.aimAt - (long) (1.5 * call.expected);  // later, half would be late
+                alarms.set(Math.max(now + 1, hopeless), at -> {
+                    if (call.held) {
+                        ledger.answer(call);
+                    }
+                });
+                drain(now);
+            }
+        }
+
+        /**
+         * The part of new requests to shed. Danger: where many sidecars keep one in flight each, no limit per
+         * upstream binds; once work is answered too late, upstreams work for nobody until much less is sent.
+         * Nothing is shed while four fifths of the recent attempts were in time; below, the cube lets a jam
+         * drain where a share would feed it. What is shed comes again: marked retries are shed more readily.
+         */
+        private double shedding(long now) {
+            double borne = Math.min(1, ENOUGH * (inTime.value(now) + 1) / (tried.value(now) + 1));
+            return 1 - borne * borne * borne;
+        }
+
+        private Share share(Call call) {
+            return shares[Math.min(call.request.tenant(), shares.length - 1)];
+        }
+
+        private boolean place(long now, Call call) {
+            Server server = pattern.pick(now, call, false);
+            // Danger: a trouble common to all would empty the pattern. Gates that all shut do not count.
+            if (server == null && roster.ready.stream().noneMatch(any -> health.open(now, any, call))) {
+                server = pattern.pick(now, call, true);
+            }
+            if (server == null) {
+                return false;
+            }
+            ledger.send(now, call, server);
+            share(call).spent.add(now, call.expected);
+            return true;
+        }
+
+        /** Gives freed room to held work, of the tenant that had the least of its quota first. */
+        void drain(long now) {
+            drains++;
+            while (held > 0) {
+                Share poorest = null;
+                for (Share share : shares) {
+                    if (!share.held.isEmpty() && share.skippedAt != drains
+                            && (poorest == null || share.used(now) < poorest.used(now))) {
+                        poorest = share;
+                    }
+                }
+                if (poorest == null) {
+                    return;
+                }
+                Call call = poorest.held.peek();
+                if (call.held && !place(now, call)) {
+                    poorest.skippedAt = drains;
+                } else {
+                    poorest.held.remove(call);
+                    held--;
+                }
+            }
+        }
+
+        void ended(long now, Attempt attempt, Outcome outcome, Call call) {
+            Server server = attempt.server;
+            tried.add(now, 1);
+            inTime.add(now, outcome == Outcome.OK && now <= call.aimAt ? 1 : 0);
+            Usual usual = health.usual[call.request.requestClass()];
+            double scaled = (now - attempt.sentAt) * usual.mean / call.expected;
+            if (outcome == Outcome.REJECTED || scaled > LATE * call.aim) {
+                if (attempt.sentAt >= server.lastCut) {
+                    server.limit = Math.max(0.1, server.limit * 0.8);
+                    server.lastCut = now;
+                }
+            } else if (outcome == Outcome.OK && attempt.crowd + 1 >= server.limit / 2) {
+                server.limit += Math.min(0.2 * server.limit, 1 / server.limit);  // one a round trip
+            }
+        }
+
+        /** Under overload a further attempt takes the place of a first one. */
+        boolean worthRetry(long now, Call call) {
+            return now < call.aimAt && shedding(now) < 0.8;
+        }
+
+        long stayAway(Call call) {
+            return settings.allowed().retryAfter()
+                    ? Math.min(settings.allowed().maxRetryAfter(), call.aim / 2) : 0;
+        }
+    }
+
+    /**
+     * Looking before a send, where upstreams tell what they hold and a probe is all but free. Danger: with
+     * hundreds of sidecars all of an upstream's work is other sidecars', which own in-flight counts never
+     * show, and the cycle feeds a busy upstream as readily as an idle one. So the next few entries are asked,
+     * and those that hold more than is usual, or do not answer, are shut to this request. Who of the others
+     * takes it is the pattern's choice; what was told counts for one request's look and no longer.
+     */
+    private final class Reports {
+        /** So many that most of them are seldom all busy. */
+        private static final int ASKED = 5;
+        /** Part of all worth that looking may be charged. */
+        private static final double CHEAP = 0.01;
+        /** Part of the aim that a look may take; a healthy upstream answers beside its queue at once. */
+        private static final int PATIENCE = 20;
+        private final int field = settings.reportFields().indexOf("rif");
+        private final boolean pays = field >= 0 && settings.allowed().probes()
+                && settings.charges().probe() * ASKED <= CHEAP;
+        /** Part of the aim that an upstream's work in hand may take up; the rest is for its spread. */
+        private static final double FULL = 0.6;
+        private double usual;
+        private double turnTime;
+
+        /** With no more sidecars than upstreams, own counts show enough of what an upstream holds. */
+        boolean looks() {
+            return pays && settings.replicas() > roster.ready.size();
+        }
+
+        /** Asks the entries next in turn; true if the request waits for what they tell. */
+        boolean ask(long now, Call call) {
+            if (!looks() || call.asked) {
+                return false;
+            }
+            call.asked = true;
+            call.looked = pattern.ahead(now, call, ASKED);
+            for (Server server : call.looked) {
+                server.holds = Double.MAX_VALUE;
+                server.askers.add(call);
+                actions.probe(server.entry.id());
+            }
+            call.pending = call.looked.size();
+            alarms.set(now + call.aim / PATIENCE, at -> decide(at, call, call.pending));
+            return call.pending > 0;
+        }
+
+        void told(long now, Server server, Outcome outcome, float[] load) {
+            if (outcome == Outcome.OK && load.length > field && field >= 0) {
+                server.holds = load[field];
+                usual += 0.05 * (server.holds - usual);
+            }
+            List<Call> askers = List.copyOf(server.askers);
+            server.askers.clear();
+            askers.forEach(call -> decide(now, call, 1));
+        }
+
+        /** All told or out of patience: sets the bar that shuts the crowded ones, and goes on. */
+        private void decide(long now, Call call, int answers) {
+            if (call.pending == 0 || (call.pending -= answers) > 0 || call.closed) {
+                return;
+            }
+            double least = Double.MAX_VALUE;
+            for (Server server : call.looked) {
+                least = Math.min(least, server.holds);
+            }
+            double full = FULL * call.aim / Math.max(1, turnTime) - 1;
+            if (least == Double.MAX_VALUE) {
+                call.looked = List.of();
+            } else if (least > Math.max(usual, full)) {
+                ledger.answer(call);
+                return;
+            }
+            call.bar = least <= usual ? usual : full;
+            admission.admit(now, call);
+        }
+
+        /** What an answer took for each request that the upstream had in hand, this one included. */
+        void learn(Attempt attempt, double took) {
+            if (attempt.found < Double.MAX_VALUE) {
+                double each = took / (attempt.found + 1);
+                turnTime += (turnTime == 0 ? 1 : 0.05) * (each - turnTime);
+            }
+        }
+
+        boolean crowded(Server server, Call call) {
+            return !call.looked.isEmpty() && (server.holds > call.bar || !call.looked.contains(server));
+        }
+    }
+}
--- /dev/null
+++ b/src/main/java/pondridge/adapter/package-info.java
@@ -0,0 +1,2 @@
+/** The simulator's wire: reads event frames, drives one module instance a sidecar, writes action frames. */
+package pondridge.adapter;
--- /dev/null
+++ b/src/test/java/pondridge/RulesTest.java
@@ -0,0 +1,582 @@
+package pondridge;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertNotEquals;
+import static org.junit.jupiter.api.Assertions.assertThrows;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+import static pondridge.Recorder.BY_ANY;
+import static pondridge.Recorder.BY_CELL;
+import static pondridge.Recorder.MS;
+import static pondridge.Recorder.ONCE;
+import static pondridge.Recorder.REPEATABLE;
+import static pondridge.Recorder.settings;
+import static pondridge.Recorder.upstream;
+
+import java.io.IOException;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import org.junit.jupiter.api.Test;
+import pondridge.Balancer.Discovery;
+import pondridge.Balancer.ListKind;
+import pondridge.Balancer.Outcome;
+import pondridge.Balancer.State;
+
+class RulesTest {
+
+    private static Recorder host(Balancer.RequestClass... classes) {
+        return new Recorder(settings(classes), 7);
+    }
+
+    /** One turn of upstreams by requests that are answered at once, so that counts always tie. */
+    private static List<Long> turn(Recorder host, int length, long firstId) {
+        List<Long> order = new ArrayList<>();
+        for (int i = 0; i < length; i++) {
+            host.request(firstId + i, 0);
+            order.add(host.last().upstream());
+            host.advance(MS);
+            host.outcome(host.last(), Outcome.OK);
+        }
+        return order;
+    }
+
+    // ---------------------------------------------------------------- the mechanism
+
+    @Test
+    void orderIsCycledAndEvenWhileCountsTie() {
+        Recorder host = host(REPEATABLE).withUpstreams(5);
+        List<Long> first = turn(host, 5, 0);
+        assertEquals(5, new HashSet<>(first).size());
+        assertEquals(first, turn(host, 5, 5));
+        assertEquals(first, turn(host, 5, 10));
+    }
+
+    @Test
+    void everyPermutationIsAboutEquallyLikely() {
+        Map<List<Long>, Integer> seen = new HashMap<>();
+        for (int seed = 0; seed < 6_000; seed++) {
+            Recorder host = new Recorder(settings(REPEATABLE), seed).withUpstreams(3);
+            seen.merge(turn(host, 3, 0), 1, Integer::sum);
+        }
+        assertEquals(6, seen.size());
+        // 1000 expected each; 150 is over five standard deviations.
+        seen.values().forEach(count -> assertTrue(Math.abs(count - 1_000) < 150, seen.toString()));
+    }
+
+    @Test
+    void lessBusyOfPointedAndNextIsChosen() {
+        Recorder host = host(REPEATABLE).withUpstreams(3);
+        List<Long> order = turn(host, 3, 0);
+        host.request(10, 0);
+        assertEquals(order.get(0), host.last().upstream());
+        host.request(11, 0);
+        host.request(12, 0);
+        assertEquals(order.get(2), host.last().upstream());
+        host.outcome(host.sendsOf(11).get(0), Outcome.OK);
+        host.request(13, 0);
+        assertEquals(order.get(1), host.last().upstream(), "pointed holds one, the next none");
+    }
+
+    @Test
+    void redrawnOnlyWhenTheReadySetChanges() {
+        Recorder host = host(REPEATABLE).withUpstreams(8);
+        List<Long> before = turn(host, 8, 0);
+        host.rules.listChanged(host.now, ListKind.DELTA, List.of(upstream(3)));
+        assertEquals(before, turn(host, 8, 20));
+        host.rules.listChanged(host.now, ListKind.DELTA, List.of(upstream(3, State.GONE, 0)));
+        List<Long> after = turn(host, 7, 40);
+        assertFalse(after.contains(3L));
+        before.remove(3L);
+        assertNotEquals(before, after, "a fresh draw; this seed gives another order");
+    }
+
+    @Test
+    void withNothingReadyTheRequestIsRefusedAtOnce() {
+        Recorder host = host(ONCE).withUpstreams(0);
+        host.request(1, 0);
+        assertEquals(List.of("refuse 1"), host.answers);
+    }
+
+    @Test
+    void sameEventsGiveSameActions() {
+        List<List<String>> logs = new ArrayList<>();
+        for (int run = 0; run < 2; run++) {
+            Recorder host = host(REPEATABLE, ONCE).withUpstreams(6);
+            host.serve(0, 60, 0, 3 * MS);
+            for (int i = 100; i < 160; i++) {
+                host.request(i, i % 2);
+                host.advance(2 * MS);
+            }
+            host.advance(2_000 * MS);
+            logs.add(host.log);
+        }
+        assertEquals(logs.get(0), logs.get(1));
+    }
+
+    /** Turns of a slow and a fast upstream of two kinds, by what each takes. */
+    private static List<Long> turnsOfTwoKinds(long fast, long slow) {
+        Recorder host = host(REPEATABLE);
+        host.rules.listChanged(host.now, ListKind.CACHED, List.of(
+                new Balancer.Upstream(0, 0, 0, 0, State.READY, 1, 0),
+                new Balancer.Upstream(1, 0, 1, 0, State.READY, 1, 0)));
+        for (int i = 0; i < 200; i++) {
+            host.request(i, 0);
+            host.advance(host.last().upstream() == 0 ? fast : slow);
+            host.outcome(host.last(), Outcome.OK);
+        }
+        return List.of(host.sentTo(0, 100), host.sentTo(1, 100));
+    }
+
+    @Test
+    void aSlowKindTakesFewerTurnsOnceItsAnswersUseUpTheAim() {
+        assertEquals(List.of(50L, 50L), turnsOfTwoKinds(20 * MS, 60 * MS), "well within the aim of 500 ms");
+        List<Long> turns = turnsOfTwoKinds(100 * MS, 300 * MS);
+        assertTrue(turns.get(1) > 15 && turns.get(1) < 35, "a third as fast, a third of the turns: " + turns);
+    }
+
+    // ---------------------------------------------------------------- rule 1
+
+    @Test
+    void aTimerThatRingsEarlyDoesNotLoseRequests() {
+        Recorder host = host(ONCE).withUpstreams(1);
+        host.request(1, 0);
+        Recorder.Timer timer = host.timers.poll();
+        host.now = timer.at() - 30;
+        host.rules.timer(host.now, timer.token());
+        host.advance(2_000 * MS);
+        assertEquals(List.of("fail 1"), host.answers);
+    }
+
+    @Test
+    void heldRequestsAreAnsweredBeforeTheirDeadline() {
+        Recorder host = host(ONCE).withUpstreams(1);
+        host.burst(0, 50, 0);
+        host.advance(1_000 * MS);
+        assertEquals(50, new HashSet<>(host.answers).size());
+        assertEquals(50, host.answers.size());
+    }
+
+    @Test
+    void noTimeLeftIsAnsweredAtOnce() {
+        Recorder host = host(ONCE).withUpstreams(3);
+        host.request(1, 0, 0);
+        assertEquals(List.of("refuse 1"), host.answers);
+        assertTrue(host.sends.isEmpty());
+    }
+
+    @Test
+    void timeOutAtTheDeadlineIsFailedOnce() {
+        Recorder host = host(ONCE).withUpstreams(3);
+        host.request(1, 0);
+        Recorder.Sent sent = host.last();
+        host.now += 1_000 * MS;
+        host.outcome(sent, Outcome.TIMEOUT);
+        host.advance(100 * MS);
+        assertEquals(List.of("fail 1"), host.answers);
+    }
+
+    // ---------------------------------------------------------------- rule 2
+
+    @Test
+    void onceIsResentOnlyAfterProofThatItNeverRan() {
+        for (Outcome outcome : Outcome.values()) {
+            if (outcome == Outcome.OK) {
+                continue;
+            }
+            Recorder host = host(ONCE).withUpstreams(4);
+            host.request(1, 0);
+            host.outcome(host.last(), outcome);
+            assertEquals(outcome.provesNeverRan() ? 2 : 1, host.sends.size(), outcome.toString());
+            if (!outcome.provesNeverRan()) {
+                assertEquals(List.of("fail 1"), host.answers);
+            }
+        }
+    }
+
+    @Test
+    void keyedStaysInItsCellAndWithinItsTime() {
+        Recorder host = host(BY_CELL).withUpstreams(9);
+        host.request(1, 0);
+        long cell = host.last().upstream() / 3;
+        host.outcome(host.last(), Outcome.ERROR);
+        assertEquals(2, host.sends.size());
+        assertEquals(cell, host.last().upstream() / 3);
+        host.now += 699 * MS;
+        host.outcome(host.last(), Outcome.ERROR);
+        assertEquals(2, host.sends.size(), "the key is about to be forgotten");
+        assertEquals(List.of("fail 1"), host.answers);
+    }
+
+    @Test
+    void keyedWithScopeAllMayBeRefusedAfterDoubt() {
+        Recorder host = host(BY_ANY).withUpstreams(1);
+        host.request(1, 0);
+        host.outcome(host.last(), Outcome.RESET);
+        host.advance(1_000 * MS);
+        assertEquals(List.of("refuse 1"), host.answers);
+    }
+
+    @Test
+    void tryLimitIsKept() {
+        Recorder host = host(REPEATABLE).withUpstreams(9);
+        host.request(1, 0);
+        for (int i = 0; i < 5 && host.answers.isEmpty(); i++) {
+            host.outcome(host.last(), Outcome.REJECTED);
+        }
+        assertEquals(3, host.sends.size());
+        assertEquals(List.of("refuse 1"), host.answers);
+    }
+
+    // ---------------------------------------------------------------- rule 3
+
+    @Test
+    void drainingAndMissingUpstreamsGetNothingNew() {
+        Recorder host = host(REPEATABLE).withUpstreams(4);
+        host.rules.listChanged(host.now, ListKind.DELTA, List.of(upstream(2, State.DRAINING, 0)));
+        assertFalse(turn(host, 12, 0).contains(2L));
+        host.rules.listChanged(host.now, ListKind.FULL, List.of(upstream(0), upstream(1)));
+        assertEquals(Set.of(0L, 1L), new HashSet<>(turn(host, 12, 20)));
+    }
+
+    @Test
+    void failedSubscriptionKeepsTheListAndBacksOff() {
+        Recorder host = new Recorder(settings(Discovery.SUBSCRIBE, REPEATABLE), 7).withUpstreams(3);
+        assertEquals(1, host.subscriptions);
+        for (int i = 0; i < 8; i++) {
+            host.rules.listChanged(host.now, ListKind.FAILED, List.of());
+            host.advance(5_000 * MS);
+            assertEquals(i + 2, host.subscriptions);
+        }
+        host.request(1, 0);
+        assertEquals(1, host.sends.size());
+        host.rules.listChanged(host.now, ListKind.FAILED, List.of());
+        host.advance(2_000 * MS);
+        assertEquals(9, host.subscriptions, "after eight failures it waits");
+    }
+
+    @Test
+    void unansweredSubscriptionIsRepeated() {
+        Recorder host = new Recorder(settings(Discovery.SUBSCRIBE, REPEATABLE), 7).withUpstreams(3);
+        host.advance(6_000 * MS);
+        assertEquals(2, host.subscriptions);
+    }
+
+    // ---------------------------------------------------------------- rule 4
+
+    @Test
+    void coldUpstreamGetsNoMoreThanItsShareOfAWarmOne() {
+        Recorder host = host(REPEATABLE).withUpstreams(4);
+        host.serve(0, 2_000, 0, 5 * MS);
+        host.rules.listChanged(host.now, ListKind.DELTA, List.of(upstream(9, State.READY, host.now)));
+        int before = host.sends.size();
+        host.serve(5_000, 5_300, 0, 5 * MS);
+        long cold = host.sentTo(9, before);
+        // 1.5 s at 200 a second over 4 warm servers: 75 each; the cold share is 0.3 and has hardly grown.
+        assertTrue(cold > 5 && cold < 40, "cold upstream got " + cold);
+    }
+
+    @Test
+    void firstRequestsOfManySidecarsDoNotPushAColdUpstreamOver() {
+        int cold = 0;
+        int warm = 0;
+        for (int seed = 0; seed < 100; seed++) {
+            Recorder host = new Recorder(settings(REPEATABLE), seed).withUpstreams(4);
+            host.serve(0, 20, 0, 500 * MS);
+            host.rules.listChanged(host.now, ListKind.DELTA, List.of(upstream(9, State.READY, host.now)));
+            int before = host.sends.size();
+            host.serve(100, 105, 0, 300 * MS);
+            cold += (int) host.sentTo(9, before);
+            warm += 5 - (int) host.sentTo(9, before);
+        }
+        // A warm one gets about 120; the cold share of 0.3 grows to 0.4 in these 1.5 s.
+        assertTrue(cold > 5 && cold < 0.5 * warm / 4, "cold got " + cold + ", warm ones " + warm);
+    }
+
+    @Test
+    void aSidecarThatKnowsNothingYetLeavesColdUpstreamsAlone() {
+        for (int seed = 0; seed < 20; seed++) {
+            Recorder host = new Recorder(settings(REPEATABLE), seed).withUpstreams(2);
+            host.rules.listChanged(host.now, ListKind.DELTA, List.of(upstream(9, State.READY, host.now)));
+            host.burst(0, 3, 0);
+            assertEquals(0, host.sentTo(9, 0));
+        }
+    }
+
+    // ---------------------------------------------------------------- health
+
+    @Test
+    void silentUpstreamLosesItsTurns() {
+        Recorder host = host(ONCE, REPEATABLE).withUpstreams(4);
+        host.serve(0, 40, 0, 20 * MS);
+        int before = host.sends.size();
+        for (int i = 100; i < 160; i++) {
+            host.request(i, 0);
+            Recorder.Sent sent = host.last();
+            host.advance(20 * MS);
+            if (sent.upstream() != 2) {
+                host.outcome(sent, Outcome.OK);
+            }
+        }
+        long lost = host.sentTo(2, before);
+        assertTrue(lost <= 4, "silent upstream got " + lost + " of 60");
+    }
+
+    @Test
+    void fastErrorsDoNotWinTurns() {
+        Recorder host = host(ONCE, REPEATABLE).withUpstreams(4);
+        host.serve(0, 40, 0, 20 * MS);
+        int before = host.sends.size();
+        for (int i = 100; i < 200; i++) {
+            host.request(i, 0);
+            Recorder.Sent sent = host.last();
+            host.advance(sent.upstream() == 2 ? MS : 20 * MS);
+            host.outcome(sent, sent.upstream() == 2 ? Outcome.ERROR : Outcome.OK);
+        }
+        long lost = host.sentTo(2, before);
+        assertTrue(lost <= 8, "failing upstream got " + lost + " of 100, a third of an even turn");
+    }
+
+    @Test
+    void commonSlownessDoesNotEmptyThePattern() {
+        Recorder host = host(REPEATABLE).withUpstreams(4);
+        host.serve(0, 200, 0, 20 * MS);
+        host.serve(1_000, 1_100, 0, 80 * MS);
+        int before = host.sends.size();
+        host.serve(2_000, 2_040, 0, 80 * MS);
+        Map<Long, Integer> turns = new HashMap<>();
+        host.sends.subList(before, before + 40).forEach(s -> turns.merge(s.upstream(), 1, Integer::sum));
+        turns.values().forEach(count -> assertEquals(10, count));
+        assertTrue(host.answers.isEmpty(), "nothing refused: " + host.answers);
+    }
+
+    @Test
+    void allUnreachableIsStillTried() {
+        Recorder host = host(REPEATABLE).withUpstreams(2);
+        for (int i = 0; i < 4; i++) {
+            host.request(i, 0);
+            host.outcome(host.last(), Outcome.CONNECT_FAILED);
+        }
+        int before = host.sends.size();
+        host.request(10, 0);
+        assertTrue(host.sends.size() > before, "with every gate shut the pattern decides alone");
+    }
+
+    @Test
+    void silenceBringsNoSecondCopy() {
+        Recorder host = host(REPEATABLE).withUpstreams(4);
+        host.serve(0, 80, 0, 20 * MS);
+        host.request(100, 0);
+        host.advance(300 * MS);
+        assertEquals(1, host.sendsOf(100).size(), "one attempt at a time");
+    }
+
+    // ---------------------------------------------------------------- a look before a send
+
+    private static Recorder lookingHost(int replicas) {
+        return new Recorder(Recorder.lookingSettings(replicas, REPEATABLE), 7).withUpstreams(10);
+    }
+
+    /** Answers every probe so far: so many in hand at each upstream, the last of them at {@code idle}. */
+    private static void tell(Recorder host, float inHand, int idle) {
+        List<Long> asked = host.log.stream().filter(line -> line.startsWith("probe "))
+                .map(line -> Long.parseLong(line.substring(6))).toList();
+        host.log.clear();
+        host.now += MS;
+        for (int i = 0; i < asked.size(); i++) {
+            host.rules.probeResult(host.now, asked.get(i), Outcome.OK, MS,
+                    new float[] {0, i == idle ? 0 : inHand});
+        }
+    }
+
+    @Test
+    void busyEntriesArePassedOverWhereAProbeIsAllButFree() {
+        Recorder host = lookingHost(100);
+        host.request(1, 0);
+        assertTrue(host.sends.isEmpty(), "it looks first");
+        List<String> asked = host.log.stream().filter(line -> line.startsWith("probe ")).toList();
+        assertEquals(5, asked.size());
+        tell(host, 3, 2);
+        assertEquals(asked.get(2), "probe " + host.last().upstream());
+    }
+
+    @Test
+    void aLookThatNobodyAnswersHoldsNothingUp() {
+        Recorder host = lookingHost(100);
+        host.request(1, 0);
+        host.advance(30 * MS);
+        assertEquals(1, host.sends.size());
+    }
+
+    @Test
+    void whereAllAskedAreFullTheRequestIsRefusedAtOnce() {
+        Recorder host = lookingHost(100);
+        for (int i = 0; i < 40; i++) {
+            host.request(i, 0);
+            tell(host, 0, 0);
+            host.advance(100 * MS);
+            host.outcome(host.last(), Outcome.OK);
+        }
+        host.request(100, 0);
+        tell(host, 9, -1);
+        assertEquals(List.of("refuse 100"), host.answers, "ten turns of 100 ms each against an aim of 500");
+    }
+
+    @Test
+    void anAttemptIsGivenUpAtItsAimOnlyWhereLooksShowWhatUpstreamsHold() {
+        Recorder host = lookingHost(100);
+        host.request(1, 0);
+        tell(host, 0, 0);
+        assertEquals(List.of("send 1 " + host.last().upstream() + " " + 499 * MS),
+                host.log.stream().filter(line -> line.startsWith("send")).toList());
+        host = lookingHost(3);
+        host.request(1, 0);
+        assertTrue(host.log.contains("send 1 " + host.last().upstream() + " 0"));
+    }
+
+    @Test
+    void fewSidecarsDoNotLook() {
+        Recorder host = lookingHost(3);
+        host.request(1, 0);
+        assertEquals(1, host.sends.size());
+        assertFalse(host.log.stream().anyMatch(line -> line.startsWith("probe ")));
+    }
+
+    // ---------------------------------------------------------------- admission
+
+    @Test
+    void markedRetriesAreShedMoreReadilyThanFirstTries() {
+        int[] sent = new int[2];
+        for (int seed = 0; seed < 100; seed++) {
+            Recorder host = new Recorder(settings(REPEATABLE), seed).withUpstreams(40);
+            for (int i = 0; i < 8; i++) {
+                host.request(i, 0);
+                Recorder.Sent last = host.last();
+                host.advance(i % 2 == 0 ? 10 * MS : 600 * MS);
+                host.outcome(last, Outcome.OK);
+            }
+            int before = host.sends.size();
+            host.rules.request(host.now, new Balancer.Request(100, 0, 0, 0, 1_000 * MS, 0,
+                    seed % 2 == 1, false));
+            sent[seed % 2] += host.sends.size() - before;
+        }
+        assertTrue(sent[0] > 15 && sent[1] < sent[0] / 2, "first tries " + sent[0] + ", retries " + sent[1]);
+    }
+
+    @Test
+    void lateAnswersBringSheddingAndAFewInTimeEndIt() {
+        Recorder host = host(REPEATABLE).withUpstreams(40);
+        for (int i = 0; i < 30; i++) {
+            host.request(i, 0);
+            host.advance(100 * MS);
+        }
+        host.advance(1_000 * MS);
+        host.sends.forEach(sent -> host.outcome(sent, Outcome.TIMEOUT));
+        int before = host.sends.size();
+        host.burst(100, 140, 0);
+        assertTrue(host.sends.size() - before < 8, "nothing came in time: " + (host.sends.size() - before));
+        host.advance(30_000 * MS);
+        host.serve(200, 300, 0, 20 * MS);
+        assertEquals(100, host.sends.stream().filter(sent -> sent.request() >= 200).count());
+    }
+
+    @Test
+    void heldWorkIsSentNewestFirst() {
+        Recorder host = host(ONCE).withUpstreams(1);
+        host.burst(0, 6, 0);
+        int out = host.sends.size();
+        assertTrue(out < 6, "some are held");
+        host.advance(10 * MS);
+        host.outcome(host.sends.get(0), Outcome.OK);
+        assertEquals(5, host.sends.get(out).request());
+    }
+
+    @Test
+    void hopelessLaterTriesAreAnsweredAtOnceUnderPressure() {
+        Recorder host = host(ONCE).withUpstreams(1);
+        host.burst(0, 6, 0);
+        int sent = host.sends.size();
+        host.request(50, 0, 400 * MS);
+        assertEquals(List.of("refuse 50"), host.answers, "600 ms of an aim of 500 are gone");
+        assertEquals(sent, host.sends.size());
+    }
+
+    @Test
+    void firstTriesWithLessTimeThanLastOnesStayFirst() {
+        Recorder host = host(ONCE).withUpstreams(1);
+        for (int i = 0; i < 30; i++) {
+            host.request(i, 0, i % 3 == 2 ? 900 * MS : 600 * MS);
+        }
+        int answered = host.answers.size();
+        host.request(50, 0, 600 * MS);
+        assertEquals(answered, host.answers.size(), "600 ms is what first tries have: held, not answered");
+    }
+
+    @Test
+    void tenantThatHadLeastOfItsQuotaGoesFirst() {
+        Balancer.Settings base = settings(ONCE);
+        Recorder host = new Recorder(new Balancer.Settings(0, 1, 0, 5 * MS, Discovery.AUTOMATIC,
+                Balancer.Weights.SILENT, base.classes(), List.of(new Balancer.Tenant(0.5, 10),
+                new Balancer.Tenant(0.5, 10)), base.allowed(), base.limits(), List.of(),
+                Balancer.Charges.NONE,
+                false, 0.1), 7)
+                .withUpstreams(1);
+        for (int i = 0; i < 4; i++) {
+            host.rules.request(host.now, new Balancer.Request(i, 0, 0, 0, 1_000 * MS, 0, false, false));
+        }
+        host.rules.request(host.now, new Balancer.Request(10, 0, 1, 0, 1_000 * MS, 0, false, false));
+        host.rules.request(host.now, new Balancer.Request(11, 0, 0, 0, 1_000 * MS, 0, false, false));
+        int out = host.sends.size();
+        host.advance(10 * MS);
+        host.outcome(host.sends.get(0), Outcome.OK);
+        assertEquals(10, host.sends.get(out).request(), "not the newest, but the tenant that had nothing");
+    }
+
+    @Test
+    void aServiceOfOnceAloneStillTriesASuspectAgain() {
+        Recorder host = host(ONCE).withUpstreams(2);
+        host.serve(0, 40, 0, 20 * MS);
+        for (int i = 100; i < 1_200; i++) {
+            host.request(i, 0);
+            Recorder.Sent sent = host.last();
+            host.advance(20 * MS);
+            host.outcome(sent, sent.upstream() == 1 && i < 200 ? Outcome.ERROR : Outcome.OK);
+        }
+        assertTrue(host.sends.subList(host.sends.size() - 20, host.sends.size()).stream()
+                .anyMatch(s -> s.upstream() == 1), "it came back");
+    }
+
+    // ---------------------------------------------------------------- settings and size
+
+    @Test
+    void senselessSettingsAreNamed() {
+        IllegalArgumentException e = assertThrows(IllegalArgumentException.class,
+                () -> new Balancer.Limits(0, 0, 0, 1.5, 0, 3, 0));
+        assertTrue(e.getMessage().contains("cold share"));
+        assertThrows(IllegalArgumentException.class, () -> settings());
+    }
+
+    @Test
+    void eventsAboutNothingHeldArePassedOver() {
+        Recorder host = host(REPEATABLE).withUpstreams(2);
+        int before = host.log.size();
+        host.rules.hangup(host.now, 99);
+        host.rules.outcome(host.now, 99, 0, 1, Outcome.OK, 0, true, new float[0]);
+        host.rules.firstByte(host.now, 99, 0, 1, 0);
+        host.rules.timer(host.now, 12345);
+        host.rules.peerMessage(host.now, 1, new byte[] {1});
+        assertEquals(before, host.log.size());
+    }
+
+    @Test
+    void moduleStaysWithinItsSize() throws IOException {
+        List<String> lines = Files.readAllLines(Path.of("src/main/java/pondridge/Rules.java"));
+        assertTrue(lines.stream().filter(line -> !line.isBlank()).count() <= 850);
+        assertTrue(lines.stream().allMatch(line -> line.length() <= 110));
+    }
+}
