--- a/src/main/java/pondridge/adapter/Options.java
+++ b/src/main/java/pondridge/Options.java
@@ -1,4 +1,4 @@
-package pondridge.adapter;
+package pondridge;
 
 import java.util.ArrayList;
 import java.util.HashMap;
@@ -17,13 +17,15 @@
 import pondridge.Balancer.Weights;
 
 /**
- * Turns the path=value lines of a provision event into {@link Settings}; keys it does not know are
- * skipped.
+ * The one reader of an instance's settings, for every host: turns path=value lines into {@link Settings} and
+ * answers for what only hosts need (names, connection limits). Keys it does not know are skipped; what makes
+ * no sense is an {@link IllegalArgumentException} naming the key.
  */
-final class Options {
+public final class Options {
     private final Map<String, String> values = new HashMap<>();
 
-    private Options(String text) {
+    /** Reads one path=value a line. */
+    public Options(String text) {
         for (String line : text.split("\n")) {
             int equals = line.indexOf('=');
             if (equals > 0) {
@@ -32,11 +34,8 @@
         }
     }
 
-    static Settings parse(String text) {
-        return new Options(text).settings();
-    }
-
-    private Settings settings() {
+    /** What the module is set to. */
+    public Settings settings() {
         List<RequestClass> classes = new ArrayList<>();
         int classCount = (int) required("profiles.count");
         for (int i = 0; i < classCount; i++) {
@@ -48,11 +47,10 @@
             String path = "parties." + i + ".";
             tenants.add(new Tenant(number(path + "portion", 0), number(path + "quotaRps", 0)));
         }
-        String fields = values.getOrDefault("report.fields", "");
         return new Settings((int) number("rank", 0), (int) number("replicasOfMe", 1), (int) number("zone", 0),
                 (long) number("quantum", 0), choice(Discovery.class, "discovery", Discovery.AUTOMATIC),
                 choice(Weights.class, "weights", Weights.SILENT), classes, tenants,
-                allowed(), limits(), fields.isEmpty() ? List.of() : List.of(fields.split(",")),
+                allowed(), limits(), list("report.fields"),
                 new Charges(number("charges.probe", 0), number("charges.peer", 0)),
                 "work".equals(values.get("valueBy")), number("overShareWorth", 1));
     }
@@ -78,18 +76,35 @@
                 (long) required("rules.tipAfter"));
     }
 
+    /** The names of a list of objects, in order; those without a name are named by their number. */
+    public List<String> names(String path) {
+        List<String> names = new ArrayList<>();
+        int count = (int) number(path + ".count", 0);
+        for (int i = 0; i < count; i++) {
+            names.add(values.getOrDefault(path + "." + i + ".name", Integer.toString(i)));
+        }
+        return names;
+    }
+
+    /** A list of plain values, empty where absent. */
+    public List<String> list(String key) {
+        String text = values.getOrDefault(key, "");
+        return text.isEmpty() ? List.of() : List.of(text.split(","));
+    }
+
     private boolean flag(String key) {
         return "true".equals(values.get(key));
     }
 
     private double required(String key) {
         if (!values.containsKey(key)) {
-            throw new WireException("setting missing: " + key);
+            throw new IllegalArgumentException("setting missing: " + key);
         }
         return number(key, 0);
     }
 
-    private double number(String key, double absent) {
+    /** A number, or {@code absent} where the key is missing or empty. */
+    public double number(String key, double absent) {
         String text = values.get(key);
         if (text == null || text.isEmpty()) {
             return absent;
@@ -97,7 +112,7 @@
         try {
             return Double.parseDouble(text);
         } catch (NumberFormatException e) {
-            throw new WireException("setting is not a number: " + key + "=" + text);
+            throw new IllegalArgumentException("setting is not a number: " + key + "=" + text);
         }
     }
 
@@ -106,14 +121,14 @@
         String text = values.get(key);
         if (text == null) {
             if (absent == null) {
-                throw new WireException("setting missing: " + key);
+                throw new IllegalArgumentException("setting missing: " + key);
             }
             return absent;
         }
         try {
             return Enum.valueOf(type, text.toUpperCase(Locale.ROOT));
         } catch (IllegalArgumentException e) {
-            throw new WireException("setting has an unknown value: " + key + "=" + text);
+            throw new IllegalArgumentException("setting has an unknown value: " + key + "=" + text);
         }
     }
 }
--- a/src/main/java/pondridge/adapter/Host.java
+++ b/src/main/java/pondridge/adapter/Host.java
@@ -10,6 +10,7 @@
 import pondridge.Balancer.Request;
 import pondridge.Balancer.State;
 import pondridge.Balancer.Upstream;
+import pondridge.Options;
 import pondridge.Rules;
 
 /**
@@ -76,7 +77,7 @@
     private void provision(long now, Cursor in) {
         int sidecar = in.u16();
         long seed = in.i64();
-        Balancer instance = new Rules(Options.parse(in.text(in.u32())), seed, replies.sink(sidecar));
+        Balancer instance = new Rules(new Options(in.text(in.u32())).settings(), seed, replies.sink(sidecar));
         instances.put(sidecar, instance);
         instance.start(now);
     }
--- /dev/null
+++ b/src/main/java/pondridge/sidecar/Config.java
@@ -0,0 +1,98 @@
+package pondridge.sidecar;
+
+import com.fasterxml.jackson.core.JsonProcessingException;
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.ObjectMapper;
+import io.netty.util.NetUtil;
+import java.io.IOException;
+import java.net.InetAddress;
+import java.net.InetSocketAddress;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.Map;
+import java.util.StringJoiner;
+import pondridge.Options;
+
+/** What one sidecar is told at its start; a mistake is an exception whose message names the key. */
+record Config(String name, InetSocketAddress listen, InetSocketAddress discovery, long seed, int sockets,
+        Discovery.Listing known, Options options) {
+    static final ObjectMapper JSON = new ObjectMapper();
+    private static final int FEWEST_SOCKETS = 64;
+
+    static Config read(Path file) throws IOException {
+        try {
+            return of(JSON.readTree(Files.readAllBytes(file)));
+        } catch (JsonProcessingException e) {
+            throw new IllegalArgumentException("not JSON: " + e.getOriginalMessage(), e);
+        }
+    }
+
+    static Config of(JsonNode root) {
+        JsonNode settings = root.path("settings");
+        if (!settings.isObject()) {
+            throw new IllegalArgumentException("missing: settings");
+        }
+        StringBuilder lines = new StringBuilder();
+        flatten("", settings, lines);
+        Options options = new Options(lines.toString());
+        options.settings();
+        int sockets = root.path("limits").path("sockets").asInt(1024);
+        if (sockets < FEWEST_SOCKETS) {
+            throw new IllegalArgumentException("too few: limits.sockets");
+        }
+        Discovery.Listing known = root.has("known") ? Discovery.Listing.of(root.get("known"))
+                : Discovery.Listing.NONE;
+        return new Config(root.path("name").asText("sidecar"), address(root, "listen"),
+                address(root, "discovery"), seed(root), sockets, known, options);
+    }
+
+    private static InetSocketAddress address(JsonNode root, String key) {
+        InetSocketAddress address = parseAddress(root.path(key).asText(""));
+        if (address == null) {
+            throw new IllegalArgumentException("not an address and port: " + key);
+        }
+        return address;
+    }
+
+    private static long seed(JsonNode root) {
+        try {
+            return Long.parseUnsignedLong(root.path("seed").asText(), 16);
+        } catch (NumberFormatException e) {
+            throw new IllegalArgumentException("not a hexadecimal number: seed", e);
+        }
+    }
+
+    /** A numeric address and port, or null; names are never looked up, since there is no DNS. */
+    static InetSocketAddress parseAddress(String text) {
+        int colon = text.lastIndexOf(':');
+        InetAddress host = colon < 0 ? null : NetUtil.createInetAddressFromIpAddressString(
+                text.substring(0, colon));
+        try {
+            int port = Integer.parseInt(text.substring(colon + 1));
+            return host == null || port < 0 || port > 0xffff ? null : new InetSocketAddress(host, port);
+        } catch (NumberFormatException e) {
+            return null;
+        }
+    }
+
+    /** Writes a JSON tree as the path=value lines of the simulator's wire, which {@link Options} reads. */
+    private static void flatten(String path, JsonNode node, StringBuilder lines) {
+        if (node.isObject()) {
+            for (Map.Entry<String, JsonNode> field : node.properties()) {
+                String inner = path.isEmpty() ? field.getKey() : path + "." + field.getKey();
+                flatten(inner, field.getValue(), lines);
+            }
+        } else if (node.isArray() && node.size() > 0 && node.get(0).isContainerNode()) {
+            lines.append(path).append(".count=").append(node.size()).append('\n');
+            for (int i = 0; i < node.size(); i++) {
+                flatten(path + "." + i, node.get(i), lines);
+            }
+        } else if (node.isArray()) {
+            StringJoiner values = new StringJoiner(",");
+            node.forEach(value -> values.add(value.asText()));
+            lines.append(path).append('=').append(values).append('\n');
+        } else if (!node.isNull()) {
+            lines.append(path).append('=').append(node.asText()).append('\n');
+        }
+    }
+}
--- /dev/null
+++ b/src/main/java/pondridge/sidecar/Engine.java
@@ -0,0 +1,300 @@
+package pondridge.sidecar;
+
+import io.netty.buffer.Unpooled;
+import io.netty.channel.EventLoop;
+import io.netty.handler.codec.http.DefaultFullHttpRequest;
+import io.netty.handler.codec.http.FullHttpRequest;
+import io.netty.handler.codec.http.HttpHeaderNames;
+import io.netty.handler.codec.http.HttpMethod;
+import io.netty.handler.codec.http.HttpVersion;
+import java.util.ArrayDeque;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.concurrent.TimeUnit;
+import java.util.function.LongConsumer;
+import pondridge.Balancer;
+import pondridge.Balancer.ListKind;
+import pondridge.Balancer.Outcome;
+import pondridge.Balancer.Request;
+import pondridge.Balancer.State;
+import pondridge.Balancer.Upstream;
+import pondridge.Rules;
+
+/**
+ * The only caller of the module: tells it events one after the other, on the event loop, and carries out what
+ * it orders. Whatever module and upstreams do, a request gets one final answer and a send one outcome.
+ */
+final class Engine implements Balancer.Actions {
+    /** What of a client's wait is kept for the answer's way back; the module does not know of it. */
+    private static final long ANSWER_ROOM = 10_000_000;
+
+    /** A request as the frontend took it. */
+    record Job(int requestClass, int tenant, long key, long waitMs, long costHint, boolean clientRetry,
+            HttpMethod method, String path, String id, String idempotencyKey, byte[] body) { }
+
+    /** Takes a request's one final answer. */
+    interface Client {
+        void served(byte[] body);
+
+        /** Refused: trying again is harmless, best after {@code wait} nanoseconds where that is not 0. */
+        void refused(long wait);
+
+        void failed();
+    }
+
+    private static final class Call {
+        private final Job job;
+        private final Client client;
+        private final long deadline;
+        private final List<Upstreams.Attempt> attempts = new ArrayList<>(1);
+        private int out;
+        private boolean over;
+
+        Call(Job job, Client client, long deadline) {
+            this.job = job;
+            this.client = client;
+            this.deadline = deadline;
+        }
+    }
+
+    private final EventLoop loop;
+    private final Balancer rules;
+    private final int tryLimit;
+    private final int mostOpen;
+    private final Upstreams upstreams;
+    private final Discovery discovery;
+    private final Map<Long, Call> calls = new HashMap<>();
+    private final Map<String, Long> upstreamIds = new HashMap<>();
+    private final Map<String, Integer> zones = new HashMap<>();
+    private final Map<String, Integer> kinds = new HashMap<>();
+    private final ArrayDeque<LongConsumer> events = new ArrayDeque<>();
+    private final long clockOffset = System.currentTimeMillis() * 1_000_000 - System.nanoTime();
+    private boolean telling;
+    private long lastId;
+
+    Engine(EventLoop loop, Config config, int mostOpen) {
+        Balancer.Settings settings = config.options().settings();
+        this.loop = loop;
+        this.rules = new Rules(settings, config.seed(), this);
+        this.tryLimit = settings.allowed().tryLimit();
+        this.mostOpen = mostOpen;
+        this.upstreams = new Upstreams(loop, config.options(), config.sockets() / 2);
+        this.discovery = new Discovery(loop, config.discovery(), config.known().rev(), this::listed);
+        config.options().list("zones").forEach(zone -> number(zones, zone));
+        config.options().list("kinds").forEach(kind -> number(kinds, kind));
+    }
+
+    /** Begins with the cached list; on the loop, like all that follows. */
+    void start(Discovery.Listing known) {
+        tell(rules::start);
+        listed(ListKind.CACHED, known.targets());
+    }
+
+    /** Nanoseconds since 1970 that never run back, so that start times in the list can be compared. */
+    private long now() {
+        return System.nanoTime() + clockOffset;
+    }
+
+    /** Tells the module one event; what happens meanwhile waits, since the module is never entered twice. */
+    private void tell(LongConsumer event) {
+        events.add(event);
+        if (telling) {
+            return;
+        }
+        telling = true;
+        try {
+            for (LongConsumer next = events.poll(); next != null; next = events.poll()) {
+                try {
+                    next.accept(now());
+                } catch (RuntimeException e) {
+                    System.err.println("engine: " + e);
+                }
+            }
+        } finally {
+            telling = false;
+        }
+    }
+
+    private static int number(Map<String, Integer> numbers, String name) {
+        return numbers.computeIfAbsent(name, added -> numbers.size());
+    }
+
+    private void listed(ListKind kind, List<Discovery.Target> targets) {
+        List<Upstream> entries = new ArrayList<>(targets.size());
+        Map<Long, Discovery.Target> named = new HashMap<>();
+        for (Discovery.Target target : targets) {
+            long id = upstreamIds.computeIfAbsent(target.uid(), uid -> upstreamIds.size() + 1L);
+            named.put(id, target);
+            entries.add(new Upstream(id, number(zones, target.zone()), number(kinds, target.kind()),
+                    target.cell(), target.state(), target.weight(), target.startedMs() * 1_000_000));
+        }
+        tell(now -> {
+            named.forEach((id, target) ->
+                    upstreams.listed(id, target.endpoint(), target.state() == State.READY));
+            if (kind == ListKind.FULL) {
+                upstreamIds.values().stream().filter(id -> !named.containsKey(id))
+                        .forEach(id -> upstreams.listed(id, null, false));
+            }
+            rules.listChanged(now, kind, entries);
+        });
+    }
+
+    /** Takes a request; returns the number under which {@link #hangup} knows it. */
+    long submit(Job job, Client client) {
+        if (calls.size() >= mostOpen) {
+            client.refused(0);
+            return 0;
+        }
+        long id = ++lastId;
+        long left = Math.max(1, job.waitMs() * 1_000_000 - ANSWER_ROOM);
+        Call call = new Call(job, client, now() + left);
+        calls.put(id, call);
+        // The module answers by its own deadline; this holds for whatever it may have missed.
+        loop.schedule(() -> finish(id, call, client::failed), left + ANSWER_ROOM / 2, TimeUnit.NANOSECONDS);
+        tell(now -> rules.request(now, new Request(id, job.requestClass(), job.tenant(), job.key(), left,
+                job.costHint(), job.clientRetry(), job.body().length > 0)));
+        return id;
+    }
+
+    /** The client has gone away. */
+    void hangup(long id) {
+        Call call = calls.get(id);
+        if (call != null && !call.over) {
+            finish(id, call, () -> { });
+            tell(now -> rules.hangup(now, id));
+        }
+    }
+
+    /** Whether any request still waits for its answer. */
+    boolean idle() {
+        return calls.values().stream().allMatch(call -> call.over);
+    }
+
+    private void finish(long id, Call call, Runnable answer) {
+        if (!call.over) {
+            call.over = true;
+            answer.run();
+            forget(id, call);
+        }
+    }
+
+    private void forget(long id, Call call) {
+        if (call.over && call.out == 0) {
+            calls.remove(id);
+        }
+    }
+
+    @Override
+    public void send(long request, long upstream, long timeout) {
+        Call call = calls.get(request);
+        long now = now();
+        if (call == null) {
+            return;
+        }
+        int number = call.attempts.size();
+        call.out++;
+        if (call.over || now >= call.deadline || number >= tryLimit) {
+            call.attempts.add(null);
+            ended(request, call, number, upstream, now, Outcome.NEVER_SENT, null, new float[0]);
+            return;
+        }
+        long wait = call.deadline - now;
+        if (timeout > 0) {
+            wait = Math.min(wait, timeout);
+        }
+        call.attempts.add(null);
+        call.attempts.set(number, upstreams.send(upstream, message(call.job, wait), wait,
+                (outcome, body, load) -> ended(request, call, number, upstream, now, outcome, body, load)));
+    }
+
+    private static FullHttpRequest message(Job job, long wait) {
+        FullHttpRequest request = new DefaultFullHttpRequest(HttpVersion.HTTP_1_1, job.method(), job.path(),
+                Unpooled.wrappedBuffer(job.body()));
+        request.headers().set(HttpHeaderNames.HOST, "app.svc").set("Req-Id", job.id())
+                .set("Req-Deadline-Ms", Math.max(1, wait / 1_000_000));
+        if (job.idempotencyKey() != null) {
+            request.headers().set("Idempotency-Key", job.idempotencyKey());
+        }
+        if (!job.method().equals(HttpMethod.GET)) {
+            request.headers().set(HttpHeaderNames.CONTENT_LENGTH, job.body().length);
+        }
+        return request;
+    }
+
+    private void ended(long id, Call call, int number, long upstream, long sentAt, Outcome outcome,
+            byte[] body, float[] load) {
+        tell(now -> {
+            call.out--;
+            if (outcome == Outcome.OK) {
+                finish(id, call, () -> call.client.served(body));
+            }
+            rules.outcome(now, id, number, upstream, outcome, now - sentAt, call.over, load);
+            forget(id, call);
+        });
+    }
+
+    @Override
+    public void refuse(long request, long wait) {
+        Call call = calls.get(request);
+        if (call != null) {
+            finish(request, call, () -> call.client.refused(wait));
+        }
+    }
+
+    @Override
+    public void fail(long request) {
+        Call call = calls.get(request);
+        if (call != null) {
+            finish(request, call, call.client::failed);
+        }
+    }
+
+    @Override
+    public void cancel(long request, int attempt) {
+        Call call = calls.get(request);
+        if (call != null && attempt < call.attempts.size() && call.attempts.get(attempt) != null) {
+            call.attempts.get(attempt).cancel();
+        }
+    }
+
+    @Override
+    public void timer(long token, long at) {
+        loop.schedule(() -> tell(now -> rules.timer(now, token)), Math.max(0, at - now()),
+                TimeUnit.NANOSECONDS);
+    }
+
+    @Override
+    public void probe(long upstream) {
+        long sentAt = now();
+        upstreams.probe(upstream, (outcome, body, load) -> tell(now ->
+                rules.probeResult(now, upstream, outcome, now - sentAt, load)));
+    }
+
+    @Override
+    public void closeIdle(long upstream) {
+        upstreams.closeIdle(upstream);
+    }
+
+    /** Sidecars of this kind share nothing; the module does not use peers. */
+    @Override
+    public void tell(int peer, byte[] message) {
+        throw new UnsupportedOperationException("peers");
+    }
+
+    @Override
+    public void log(String line) {
+        System.err.println("module: " + line);
+    }
+
+    @Override
+    public void subscribe(boolean on) {
+        discovery.watch(on);
+    }
+
+    @Override
+    public void fetchList() {
+        discovery.fetch();
+    }
+}
--- /dev/null
+++ b/src/main/java/pondridge/sidecar/Main.java
@@ -0,0 +1,77 @@
+package pondridge.sidecar;
+
+import io.netty.channel.EventLoop;
+import io.netty.channel.MultiThreadIoEventLoopGroup;
+import io.netty.channel.nio.NioIoHandler;
+import java.io.IOException;
+import java.nio.file.Path;
+import java.util.concurrent.CountDownLatch;
+import java.util.concurrent.TimeUnit;
+import pondridge.Balancer.RequestClass;
+
+/** Entry point of the real sidecar: configuration, start, and an orderly end at SIGTERM. */
+public final class Main {
+    /** New connections go on coming for up to 0.4 s after SIGTERM. */
+    private static final long ACCEPT_MS = 500;
+    /** SIGKILL comes no sooner than the longest deadline and 0.7 s more. */
+    private static final long SPARE_MS = 600;
+    private static final long POLL_MS = 20;
+
+    private Main() { }
+
+    /** Runs until SIGTERM; a bad configuration ends it with one line and exit status 2. */
+    public static void main(String[] args) {
+        String file = System.getenv("PROXY_CONFIG");
+        Config config;
+        try {
+            if (file == null) {
+                throw new IllegalArgumentException("not set: PROXY_CONFIG");
+            }
+            config = Config.read(Path.of(file));
+        } catch (IllegalArgumentException | IOException e) {
+            System.err.println("pondridge: configuration: " + e.getMessage());
+            System.exit(2);
+            return;
+        }
+        MultiThreadIoEventLoopGroup group = new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory());
+        EventLoop loop = group.next();
+        loop.execute(() -> start(group, loop, config));
+    }
+
+    private static void start(MultiThreadIoEventLoopGroup group, EventLoop loop, Config config) {
+        Engine engine = new Engine(loop, config, config.sockets() / 2);
+        Frontend frontend = new Frontend(engine, config.options(), config.sockets() * 3 / 8);
+        engine.start(config.known());
+        frontend.listen(group, config.listen()).addListener(bound -> {
+            if (bound.isSuccess()) {
+                frontend.ready();
+                endAtSigterm(loop, config, engine, frontend);
+            } else {
+                System.err.println("pondridge: listen: " + bound.cause().getMessage());
+                Runtime.getRuntime().halt(1);
+            }
+        });
+    }
+
+    /** The hook holds the process until all is answered, or as long as the longest request may take. */
+    private static void endAtSigterm(EventLoop loop, Config config, Engine engine, Frontend frontend) {
+        long longest = config.options().settings().classes().stream()
+                .mapToLong(RequestClass::deadline).max().orElse(0) / 1_000_000;
+        Runtime.getRuntime().addShutdownHook(new Thread(() -> {
+            CountDownLatch done = new CountDownLatch(1);
+            loop.execute(frontend::drain);
+            loop.schedule(frontend::close, ACCEPT_MS, TimeUnit.MILLISECONDS);
+            loop.scheduleWithFixedDelay(() -> {
+                if (frontend.empty() && engine.idle()) {
+                    done.countDown();
+                }
+            }, ACCEPT_MS, POLL_MS, TimeUnit.MILLISECONDS);
+            try {
+                done.await(longest + SPARE_MS, TimeUnit.MILLISECONDS);
+            } catch (InterruptedException e) {
+                Thread.currentThread().interrupt();
+            }
+            Runtime.getRuntime().halt(0);
+        }));
+    }
+}
--- a/src/test/java/pondridge/adapter/WireTest.java
+++ b/src/test/java/pondridge/adapter/WireTest.java
@@ -15,6 +15,7 @@
 import pondridge.Balancer.Actions;
 import pondridge.Balancer.Semantics;
 import pondridge.Balancer.Settings;
+import pondridge.Options;
 
 class WireTest {
     static final String OPTIONS = String.join("\n",
@@ -153,7 +154,7 @@
 
     @Test
     void settingsAreReadAndMissingOnesNamed() {
-        Settings settings = Options.parse(OPTIONS);
+        Settings settings = new Options(OPTIONS).settings();
         assertEquals(Semantics.ONCE, settings.classes().get(0).semantics());
         assertEquals(2.5, settings.classes().get(0).worth());
         assertEquals(2, settings.reportFields().size());
