Warm the hot path before /up answers 200; pass end-to-end headers on

Change: WarmUp asks the own frontend and runs an unheard module before /up says yes. Also: headers other than those of one hop go through, both ways; a client over the connection limit is refused instead of cut off; the deadline is counted on the clock value that the module is told.

--- a/src/main/java/pondridge/sidecar/Engine.java
+++ b/src/main/java/pondridge/sidecar/Engine.java
@@ -5,6 +5,7 @@
 import io.netty.handler.codec.http.DefaultFullHttpRequest;
 import io.netty.handler.codec.http.FullHttpRequest;
 import io.netty.handler.codec.http.HttpHeaderNames;
+import io.netty.handler.codec.http.HttpHeaders;
 import io.netty.handler.codec.http.HttpMethod;
 import io.netty.handler.codec.http.HttpVersion;
 import java.util.ArrayDeque;
@@ -32,11 +33,14 @@
 
     /** A request as the frontend took it. */
     record Job(int requestClass, int tenant, long key, long waitMs, long costHint, boolean clientRetry,
-            HttpMethod method, String path, String id, String idempotencyKey, byte[] body) { }
+            HttpMethod method, String uri, HttpHeaders headers, byte[] body) { }
+
+    /** What an upstream answered. */
+    record Answer(HttpHeaders headers, byte[] body) { }
 
     /** Takes a request's one final answer. */
     interface Client {
-        void served(byte[] body);
+        void served(Answer answer);
 
         /** Refused: trying again is harmless, best after {@code wait} nanoseconds where that is not 0. */
         void refused(long wait);
@@ -47,15 +51,14 @@
     private static final class Call {
         private final Job job;
         private final Client client;
-        private final long deadline;
+        private long deadline;
         private final List<Upstreams.Attempt> attempts = new ArrayList<>(1);
         private int out;
         private boolean over;
 
-        Call(Job job, Client client, long deadline) {
+        Call(Job job, Client client) {
             this.job = job;
             this.client = client;
-            this.deadline = deadline;
         }
     }
 
@@ -149,12 +152,15 @@
         }
         long id = ++lastId;
         long left = Math.max(1, job.waitMs() * 1_000_000 - ANSWER_ROOM);
-        Call call = new Call(job, client, now() + left);
+        Call call = new Call(job, client);
         calls.put(id, call);
         // The module answers by its own deadline; this holds for whatever it may have missed.
         loop.schedule(() -> finish(id, call, client::failed), left + ANSWER_ROOM / 2, TimeUnit.NANOSECONDS);
-        tell(now -> rules.request(now, new Request(id, job.requestClass(), job.tenant(), job.key(), left,
-                job.costHint(), job.clientRetry(), job.body().length > 0)));
+        tell(now -> {
+            call.deadline = now + left;
+            rules.request(now, new Request(id, job.requestClass(), job.tenant(), job.key(), left,
+                    job.costHint(), job.clientRetry(), !job.method().equals(HttpMethod.GET)));
+        });
         return id;
     }
 
@@ -206,29 +212,27 @@
         }
         call.attempts.add(null);
         call.attempts.set(number, upstreams.send(upstream, message(call.job, wait), wait,
-                (outcome, body, load) -> ended(request, call, number, upstream, now, outcome, body, load)));
+                (outcome, answer, load) ->
+                        ended(request, call, number, upstream, now, outcome, answer, load)));
     }
 
     private static FullHttpRequest message(Job job, long wait) {
-        FullHttpRequest request = new DefaultFullHttpRequest(HttpVersion.HTTP_1_1, job.method(), job.path(),
+        FullHttpRequest request = new DefaultFullHttpRequest(HttpVersion.HTTP_1_1, job.method(), job.uri(),
                 Unpooled.wrappedBuffer(job.body()));
-        request.headers().set(HttpHeaderNames.HOST, "app.svc").set("Req-Id", job.id())
-                .set("Req-Deadline-Ms", Math.max(1, wait / 1_000_000));
-        if (job.idempotencyKey() != null) {
-            request.headers().set("Idempotency-Key", job.idempotencyKey());
-        }
-        if (!job.method().equals(HttpMethod.GET)) {
+        Headers.copyEndToEnd(job.headers(), request.headers());
+        request.headers().set("Req-Deadline-Ms", Math.max(1, wait / 1_000_000));
+        if (!job.method().equals(HttpMethod.GET) || job.body().length > 0) {
             request.headers().set(HttpHeaderNames.CONTENT_LENGTH, job.body().length);
         }
         return request;
     }
 
     private void ended(long id, Call call, int number, long upstream, long sentAt, Outcome outcome,
-            byte[] body, float[] load) {
+            Answer answer, float[] load) {
         tell(now -> {
             call.out--;
             if (outcome == Outcome.OK) {
-                finish(id, call, () -> call.client.served(body));
+                finish(id, call, () -> call.client.served(answer));
             }
             rules.outcome(now, id, number, upstream, outcome, now - sentAt, call.over, load);
             forget(id, call);
@@ -268,7 +272,7 @@
     @Override
     public void probe(long upstream) {
         long sentAt = now();
-        upstreams.probe(upstream, (outcome, body, load) -> tell(now ->
+        upstreams.probe(upstream, (outcome, answer, load) -> tell(now ->
                 rules.probeResult(now, upstream, outcome, now - sentAt, load)));
     }
 
--- a/src/main/java/pondridge/sidecar/Frontend.java
+++ b/src/main/java/pondridge/sidecar/Frontend.java
@@ -68,7 +68,7 @@
                 .childHandler(new ChannelInitializer<Channel>() {
                     @Override
                     protected void initChannel(Channel made) {
-                        if (connections.size() >= mostConnections) {
+                        if (connections.size() >= mostConnections + mostConnections / 8) {
                             made.close();
                             return;
                         }
@@ -110,6 +110,7 @@
             implements Engine.Client {
         private final Channel channel;
         private final ArrayDeque<FullHttpRequest> waiting = new ArrayDeque<>(1);
+        private final boolean crowded = connections.size() >= mostConnections;
         private boolean busy;
         private boolean keepAlive;
         private long request;
@@ -140,7 +141,11 @@
                 return;
             }
             String path = path(message.uri());
-            if (path.equals("/up")) {
+            if (crowded) {
+                // A bare close would lose what the client has already written.
+                keepAlive = false;
+                refused(0);
+            } else if (path.equals("/up")) {
                 boolean up = ready && !draining;
                 answer(up ? HttpResponseStatus.OK : HttpResponseStatus.SERVICE_UNAVAILABLE, "");
             } else if (path.equals("/api") || path.startsWith("/api/")) {
@@ -166,9 +171,11 @@
         }
 
         @Override
-        public void served(byte[] body) {
-            answer(new DefaultFullHttpResponse(HttpVersion.HTTP_1_1, HttpResponseStatus.OK,
-                    Unpooled.wrappedBuffer(body)));
+        public void served(Engine.Answer answer) {
+            FullHttpResponse response = new DefaultFullHttpResponse(HttpVersion.HTTP_1_1,
+                    HttpResponseStatus.OK, Unpooled.wrappedBuffer(answer.body()));
+            Headers.copyEndToEnd(answer.headers(), response.headers());
+            answer(response);
         }
 
         @Override
@@ -242,7 +249,7 @@
     }
 
     private Engine.Job job(FullHttpRequest message, String path) {
-        String id = header(message, "Req-Id");
+        header(message, "Req-Id");
         int kind = classNames.indexOf(header(message, "Req-Kind"));
         if (kind < 0) {
             throw new IllegalArgumentException("unknown Req-Kind");
@@ -254,16 +261,16 @@
                 throw new IllegalArgumentException("unknown Req-Owner");
             }
         }
-        String idempotencyKey = message.headers().get("Idempotency-Key");
+        boolean keyed = message.headers().contains("Idempotency-Key");
         Semantics semantics = classes.get(kind).semantics();
         HttpMethod method = semantics == Semantics.REPEATABLE ? HttpMethod.GET : HttpMethod.POST;
         if (!message.method().equals(method)
-                || (semantics == Semantics.BY_KEY) != (idempotencyKey != null)) {
+                || (semantics == Semantics.BY_KEY) != keyed) {
             throw new IllegalArgumentException("method or Idempotency-Key does not fit the class");
         }
         long cost = message.headers().contains("Req-Cost") ? number(message, "Req-Cost") * 1000 : 0;
         return new Engine.Job(kind, tenant, key(path), number(message, "Req-Deadline-Ms"), cost,
-                "1".equals(message.headers().get("Req-Retry")), method, message.uri(), id, idempotencyKey,
+                "1".equals(message.headers().get("Req-Retry")), method, message.uri(), message.headers(),
                 ByteBufUtil.getBytes(message.content()));
     }
 
--- a/src/main/java/pondridge/sidecar/Main.java
+++ b/src/main/java/pondridge/sidecar/Main.java
@@ -44,8 +44,8 @@
         engine.start(config.known());
         frontend.listen(group, config.listen()).addListener(bound -> {
             if (bound.isSuccess()) {
-                frontend.ready();
                 endAtSigterm(loop, config, engine, frontend);
+                WarmUp.run(loop, config.options(), config.listen(), frontend::ready);
             } else {
                 System.err.println("pondridge: listen: " + bound.cause().getMessage());
                 Runtime.getRuntime().halt(1);
--- a/src/main/java/pondridge/sidecar/Upstreams.java
+++ b/src/main/java/pondridge/sidecar/Upstreams.java
@@ -45,9 +45,9 @@
     private static final String LOAD_PATH = "/metrics/load";
     private static final float[] NO_REPORT = {};
 
-    /** How an attempt ended; {@code body} counts for {@link Outcome#OK} alone. */
+    /** How an attempt ended; {@code answer} is there for {@link Outcome#OK} alone. */
     interface Listener {
-        void ended(Outcome outcome, byte[] body, float[] load);
+        void ended(Outcome outcome, Engine.Answer answer, float[] load);
     }
 
     private final EventLoop loop;
@@ -56,6 +56,7 @@
     private final int mostConnections;
     private final List<String> reportFields;
     private final Map<Long, Pool> pools = new HashMap<>();
+    private final Future<?> retirement;
     private int connections;
 
     Upstreams(EventLoop loop, Options options, int mostConnections) {
@@ -66,7 +67,7 @@
         this.mostConnections = mostConnections;
         this.reportFields = options.list("report.fields");
         long sweep = Math.max(1, keepIdle / 20);
-        loop.scheduleWithFixedDelay(this::retire, sweep, sweep, TimeUnit.NANOSECONDS);
+        retirement = loop.scheduleWithFixedDelay(this::retire, sweep, sweep, TimeUnit.NANOSECONDS);
     }
 
     /**
@@ -123,6 +124,12 @@
         }
     }
 
+    /** Closes all idle connections and keeps no more watch on them. */
+    void close() {
+        retirement.cancel(false);
+        pools.values().forEach(Pool::closeIdle);
+    }
+
     private void retire() {
         long now = System.nanoTime();
         for (Pool pool : pools.values()) {
@@ -184,11 +191,11 @@
             }
         }
 
-        private void end(Outcome outcome, byte[] body, float[] load) {
+        private void end(Outcome outcome, Engine.Answer answer, float[] load) {
             over = true;
             timer.cancel(false);
             pool.unwritten.remove(this);
-            listener.ended(outcome, body, load);
+            listener.ended(outcome, answer, load);
         }
     }
 
@@ -271,7 +278,8 @@
                 close();
             }
             Outcome outcome = outcome(response);
-            attempt.end(outcome, outcome == Outcome.OK ? ByteBufUtil.getBytes(response.content()) : null,
+            attempt.end(outcome, outcome == Outcome.OK ? new Engine.Answer(response.headers(),
+                    ByteBufUtil.getBytes(response.content())) : null,
                     load(response, attempt.request.uri().equals(LOAD_PATH)));
         }
 
