Test the sidecar over loopback sockets, and both programs as deployed

What each guards against is said beside it: what a broken, refused, declined or silent attempt lets an unsafe request do, malformed input, a drain told while a connection is awaited, limits, idle connections, the list's framing and failures, configuration mistakes, and an orderly end at SIGTERM.

--- /dev/null
+++ b/src/test/java/pondridge/sidecar/Bed.java
@@ -0,0 +1,126 @@
+package pondridge.sidecar;
+
+import com.fasterxml.jackson.databind.node.ArrayNode;
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import io.netty.channel.EventLoop;
+import io.netty.channel.MultiThreadIoEventLoopGroup;
+import io.netty.channel.nio.NioIoHandler;
+import java.io.BufferedInputStream;
+import java.io.IOException;
+import java.io.InputStream;
+import java.net.InetSocketAddress;
+import java.net.Socket;
+import java.nio.charset.StandardCharsets;
+import java.util.concurrent.TimeUnit;
+
+/** A sidecar in this process, with its upstreams known from the start, and a client for it. */
+final class Bed implements AutoCloseable {
+    static final int LONG_MS = 20_000;
+
+    private final MultiThreadIoEventLoopGroup group =
+            new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory());
+    final EventLoop loop = group.next();
+    final Frontend frontend;
+    final InetSocketAddress address;
+
+    /** An answer as the client saw it. */
+    record Answer(int status, String head, String body) { }
+
+    Bed(ObjectNode json) throws Exception {
+        Config config = Config.of(json);
+        Engine engine = new Engine(loop, config, 100);
+        frontend = new Frontend(engine, config.options(), 100);
+        loop.submit(() -> engine.start(config.known())).sync();
+        address = (InetSocketAddress) frontend.listen(group, config.listen()).sync().channel().localAddress();
+    }
+
+    static Bed with(Stub... upstreams) throws Exception {
+        return new Bed(json(upstreams));
+    }
+
+    /** A configuration with classes look (safe), hold (keyed) and book (unsafe), and one tenant. */
+    static ObjectNode json(Stub... upstreams) throws IOException {
+        ObjectNode root = (ObjectNode) Config.JSON.readTree("""
+                {"name":"n0","listen":"127.0.0.1:0","discovery":"127.0.0.1:1","seed":"8c1f30d27a5be964",
+                 "limits":{"cores":1.0,"memory_mb":192,"sockets":1024},
+                 "known":{"rev":41,"all":true,"targets":[]},
+                 "settings":{"discovery":"automatic","quantum":5000000,"rank":0,"replicasOfMe":1,
+                  "zones":["a","b"],"kinds":["m"],
+                  "report":{"how":"piggyback","fields":["rate","q"]},
+                  "caps":{"mayCancel":true,"mayProbe":true,"tryLimit":3,"connectTimeout":5000000000,
+                   "connIdle":60000000000,"maxRetryAfter":750000000,"retryAfter":true},
+                  "parties":[{"name":"acme","portion":1.0,"quotaRps":100}],
+                  "rules":{"answerSlack":20000000,"stopSendingWithin":2000000000,"coldShare":0.39,
+                   "rampTime":7400000000,"overloadFactor":4.0,"tipAfter":1500000000,"askWithin":10000000000},
+                  "profiles":[
+                   {"name":"look","slo":20000000000,"deadline":20000000000,"semantics":"repeatable"},
+                   {"name":"hold","slo":20000000000,"deadline":20000000000,"semantics":"by_key",
+                    "keyScope":"all","keyTtl":60000000000},
+                   {"name":"book","slo":20000000000,"deadline":20000000000,"semantics":"once"}]}}""");
+        ArrayNode targets = root.withObject("/known").withArray("/targets");
+        for (int i = 0; i < upstreams.length; i++) {
+            targets.add(target("s-" + i, upstreams[i].endpoint(), "SERVING"));
+        }
+        return root;
+    }
+
+    static ObjectNode target(String uid, String endpoint, String state) {
+        return Config.JSON.createObjectNode().put("uid", uid).put("endpoint", endpoint).put("az", "a")
+                .put("model", "m").put("pod_group", 1).put("state", state).put("capacity_hint", 1.0)
+                .put("boot_ms", 0);
+    }
+
+    static String look(String id) {
+        return "GET /api/7f3a?full=1 HTTP/1.1\r\nHost: app.svc\r\nReq-Id: " + id
+                + "\r\nReq-Kind: look\r\nReq-Owner: acme\r\nReq-Deadline-Ms: " + LONG_MS + "\r\n\r\n";
+    }
+
+    static String post(String kind, String headers, String body) {
+        return "POST /api/7f3a HTTP/1.1\r\nHost: app.svc\r\nReq-Id: 9b1f\r\nReq-Kind: " + kind
+                + "\r\nReq-Owner: acme\r\nReq-Deadline-Ms: " + LONG_MS + "\r\n" + headers
+                + "Content-Length: " + body.length() + "\r\n\r\n" + body;
+    }
+
+    /** Sends on a connection of its own and reads one answer. */
+    Answer ask(String request) throws IOException {
+        try (Client client = new Client(address)) {
+            return client.ask(request);
+        }
+    }
+
+    /** One connection of the application's. */
+    static final class Client implements AutoCloseable {
+        final Socket socket;
+        private final InputStream in;
+
+        Client(InetSocketAddress address) throws IOException {
+            socket = new Socket(address.getAddress(), address.getPort());
+            socket.setSoTimeout((int) TimeUnit.SECONDS.toMillis(Stub.LIMIT_S));
+            in = new BufferedInputStream(socket.getInputStream());
+        }
+
+        Answer ask(String request) throws IOException {
+            Stub.write(socket, request);
+            return read();
+        }
+
+        Answer read() throws IOException {
+            String head = Stub.head(in);
+            if (head.isEmpty()) {
+                throw new IOException("connection ended without an answer");
+            }
+            String body = new String(in.readNBytes(Stub.length(head)), StandardCharsets.ISO_8859_1);
+            return new Answer(Integer.parseInt(head.substring(9, 12)), head, body);
+        }
+
+        @Override
+        public void close() throws IOException {
+            socket.close();
+        }
+    }
+
+    @Override
+    public void close() {
+        group.shutdownGracefully(0, 1, TimeUnit.SECONDS);
+    }
+}
--- /dev/null
+++ b/src/test/java/pondridge/sidecar/DeployedIT.java
@@ -0,0 +1,121 @@
+package pondridge.sidecar;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import java.io.IOException;
+import java.net.ConnectException;
+import java.net.InetAddress;
+import java.net.InetSocketAddress;
+import java.net.ServerSocket;
+import java.nio.charset.StandardCharsets;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.concurrent.CountDownLatch;
+import java.util.concurrent.TimeUnit;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.io.TempDir;
+
+/** Both programs as the deploy file starts them, with the packaged jar. */
+class DeployedIT {
+    private static final String UP = "GET /up HTTP/1.1\r\nHost: a\r\n\r\n";
+
+    @TempDir
+    private Path folder;
+    private Process process;
+
+    @AfterEach
+    void end() {
+        if (process != null) {
+            process.destroyForcibly();
+        }
+    }
+
+    private void start(String key, ObjectNode config) throws IOException {
+        String line = Files.readAllLines(Path.of("deploy/balancer.toml")).stream()
+                .filter(each -> each.startsWith(key + " = \"")).findFirst().orElseThrow();
+        String command = line.substring(line.indexOf('"') + 1, line.lastIndexOf('"'));
+        Path file = Files.writeString(folder.resolve("config.json"), config.toString());
+        ProcessBuilder builder = new ProcessBuilder("/bin/sh", "-c", command);
+        builder.environment().put("PROXY_CONFIG", file.toString());
+        process = builder.start();
+    }
+
+    private int exit() throws InterruptedException {
+        assertTrue(process.waitFor(Stub.LIMIT_S, TimeUnit.SECONDS), "still running");
+        return process.exitValue();
+    }
+
+    private static InetSocketAddress freeAddress() throws IOException {
+        try (ServerSocket any = new ServerSocket(0, 1, InetAddress.getLoopbackAddress())) {
+            return (InetSocketAddress) any.getLocalSocketAddress();
+        }
+    }
+
+    private void awaitUp(InetSocketAddress address) throws Exception {
+        while (true) {
+            try (Bed.Client client = new Bed.Client(address)) {
+                if (client.ask(UP).status() == 200) {
+                    return;
+                }
+            } catch (ConnectException e) {
+                assertTrue(process.isAlive(), "ended before it listened");
+            }
+            Thread.sleep(20);
+        }
+    }
+
+    @Test
+    void simStartsAndEndsWithItsInput() throws Exception {
+        start("sim", Bed.json());
+        process.getOutputStream().close();
+        assertEquals(0, exit());
+    }
+
+    /** At SIGTERM what is held is answered, new connections still get in, and the process ends by itself. */
+    @Test
+    void runServesAndEndsInOrderAtSigterm() throws Exception {
+        CountDownLatch go = new CountDownLatch(1);
+        try (Stub upstream = new Stub((socket, head) -> {
+            try {
+                return go.await(Stub.LIMIT_S, TimeUnit.SECONDS) && Stub.reply(socket, "200 OK", "", "held");
+            } catch (InterruptedException e) {
+                return false;
+            }
+        })) {
+            InetSocketAddress address = freeAddress();
+            start("run", Bed.json(upstream).put("listen", "127.0.0.1:" + address.getPort()));
+            awaitUp(address);
+            try (Bed.Client client = new Bed.Client(address); Bed.Client other = new Bed.Client(address)) {
+                Stub.write(client.socket, Bed.look("a"));
+                Stub.next(upstream.heads);
+                assertEquals(200, other.ask(UP).status());
+                process.destroy();
+                // The end has begun once /up says no, or closes, on a connection that was there before.
+                int up = 200;
+                while (up == 200) {
+                    try {
+                        up = other.ask(UP).status();
+                    } catch (IOException e) {
+                        up = 0;
+                    }
+                }
+                go.countDown();
+                assertEquals("held", client.read().body());
+            }
+            assertEquals(0, exit());
+        }
+    }
+
+    @Test
+    void badConfigurationEndsWithOneLineNamingTheKey() throws Exception {
+        ObjectNode json = Bed.json();
+        json.withObject("/settings/rules").remove("rampTime");
+        start("run", json);
+        String err = new String(process.getErrorStream().readAllBytes(), StandardCharsets.UTF_8);
+        assertEquals(2, exit());
+        assertTrue(err.contains("rules.rampTime") && err.lines().count() == 1, err);
+    }
+}
--- /dev/null
+++ b/src/test/java/pondridge/sidecar/DiscoveryTest.java
@@ -0,0 +1,106 @@
+package pondridge.sidecar;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import io.netty.channel.EventLoop;
+import io.netty.channel.MultiThreadIoEventLoopGroup;
+import io.netty.channel.nio.NioIoHandler;
+import java.util.List;
+import java.util.concurrent.BlockingQueue;
+import java.util.concurrent.LinkedBlockingQueue;
+import java.util.concurrent.TimeUnit;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.Test;
+import pondridge.Balancer.ListKind;
+import pondridge.Balancer.State;
+
+/** The list and its watch against a discovery that answers in awkward ways. */
+class DiscoveryTest {
+    private static final String CHUNKED = "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n";
+    private static final String HALF_1 = "{\"rev\":43,\"all\":false,\"targets\":[" + entry("DRAINING") + ",";
+    private static final String HALF_2 = "{\"uid\":\"odd\",\"state\":\"???\"}]}\n";
+
+    private record Told(ListKind kind, List<Discovery.Target> targets) { }
+
+    private final MultiThreadIoEventLoopGroup group =
+            new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory());
+    private final EventLoop loop = group.next();
+    private final BlockingQueue<Told> told = new LinkedBlockingQueue<>();
+
+    @AfterEach
+    void end() {
+        group.shutdownGracefully(0, 1, TimeUnit.SECONDS);
+    }
+
+    private static String entry(String state) {
+        return Bed.target("s-1", "127.0.0.1:9", state).toString();
+    }
+
+    private static String chunk(String text) {
+        return Integer.toHexString(text.length()) + "\r\n" + text + "\r\n";
+    }
+
+    private Discovery discovery(Stub stub) {
+        return new Discovery(loop, stub.address(), 41, (kind, targets) -> told.add(new Told(kind, targets)));
+    }
+
+    /** Lines come split over chunks and chunks hold several; an odd entry spoils none but itself. */
+    @Test
+    void watchIsReadLineByLineAndItsEndIsAFailure() throws Exception {
+        try (Stub stub = new Stub((socket, head) -> {
+            Stub.write(socket, CHUNKED + chunk("\n") + chunk(HALF_1));
+            Stub.write(socket, chunk(HALF_2 + "{\"rev\":44,\"all\":true,\"targets\":[]}\n"));
+            return false;
+        })) {
+            Discovery discovery = discovery(stub);
+            loop.execute(() -> discovery.watch(true));
+            assertTrue(Stub.next(stub.heads).startsWith("GET /discovery/hosts?watch=1&from=41 HTTP/1.1"));
+            assertEquals(new Told(ListKind.DELTA, List.of()), Stub.next(told), "an empty line: no news");
+            Told delta = Stub.next(told);
+            assertEquals(ListKind.DELTA, delta.kind);
+            assertEquals(List.of(State.DRAINING),
+                    delta.targets.stream().map(Discovery.Target::state).toList());
+            assertEquals(new Told(ListKind.FULL, List.of()), Stub.next(told));
+            assertEquals(new Told(ListKind.FAILED, List.of()), Stub.next(told));
+            loop.execute(() -> discovery.watch(true));
+            assertTrue(Stub.next(stub.heads).contains("from=44 "), "goes on from the last version");
+        }
+    }
+
+    /** Each call that fails is told of once, so that the module's waits between calls hold. */
+    @Test
+    void everyFailureIsToldOnce() throws Exception {
+        for (String reply : List.of("HTTP/1.1 503 No\r\nContent-Length: 0\r\n\r\n", "", "nonsense\r\n\r\n",
+                CHUNKED + chunk("{\"rev\":\n"), CHUNKED + chunk("[]\n"),
+                CHUNKED + chunk("{\"rev\":1,\"targets\":{}}\n"))) {
+            try (Stub stub = new Stub((socket, head) -> {
+                Stub.write(socket, reply);
+                return false;
+            })) {
+                Discovery discovery = discovery(stub);
+                loop.execute(() -> discovery.watch(true));
+                assertEquals(ListKind.FAILED, Stub.next(told).kind, reply);
+                loop.execute(discovery::fetch);
+                assertEquals(ListKind.FAILED, Stub.next(told).kind, reply);
+                loop.submit(() -> { }).sync();
+                assertEquals(0, told.size(), reply);
+            }
+        }
+    }
+
+    @Test
+    void wholeListIsFetchedOnce() throws Exception {
+        String body = "{\"rev\":41,\"all\":true,\"targets\":[" + entry("SERVING") + "]}";
+        try (Stub stub = new Stub((socket, head) -> Stub.reply(socket, "200 OK", "", body))) {
+            Discovery discovery = discovery(stub);
+            loop.execute(discovery::fetch);
+            assertTrue(Stub.next(stub.heads).startsWith("GET /discovery/hosts HTTP/1.1"));
+            Told list = Stub.next(told);
+            assertEquals(ListKind.FULL, list.kind);
+            assertEquals(9, list.targets.get(0).endpoint().getPort());
+            Stub.next(stub.ended);
+            assertEquals(0, told.size());
+        }
+    }
+}
--- /dev/null
+++ b/src/test/java/pondridge/sidecar/SidecarTest.java
@@ -0,0 +1,217 @@
+package pondridge.sidecar;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertNull;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import java.util.List;
+import java.util.concurrent.CountDownLatch;
+import org.junit.jupiter.api.Test;
+
+/** The whole sidecar between a client and upstreams on loopback. */
+class SidecarTest {
+
+    @Test
+    void requestAndAnswerGoOnUnchanged() throws Exception {
+        try (Stub upstream = Stub.serving("{\"parts\":7}"); Bed bed = Bed.with(upstream)) {
+            Bed.Answer answer = bed.ask(Bed.post("hold", "Idempotency-Key: 5c0f\r\nX-Trace: t1\r\n", "two"));
+            assertEquals(200, answer.status());
+            assertEquals("{\"parts\":7}", answer.body());
+            assertEquals("text/x-part", Stub.header(answer.head(), "Content-Type"));
+            String head = Stub.next(upstream.heads);
+            assertTrue(head.startsWith("POST /api/7f3a HTTP/1.1\r\n"), head);
+            assertEquals("9b1f", Stub.header(head, "Req-Id"));
+            assertEquals("5c0f", Stub.header(head, "Idempotency-Key"));
+            assertEquals("t1", Stub.header(head, "X-Trace"));
+            int wait = Integer.parseInt(Stub.header(head, "Req-Deadline-Ms"));
+            assertTrue(wait > 0 && wait < Bed.LONG_MS, "room for the way back: " + wait);
+            assertEquals("two", Stub.next(upstream.bodies));
+            assertEquals(200, bed.ask(Bed.look("a")).status());
+            assertTrue(Stub.next(upstream.heads).startsWith("GET /api/7f3a?full=1 HTTP/1.1\r\n"));
+        }
+    }
+
+    /** A request in no known form must not reach an upstream: there it would void more than itself. */
+    @Test
+    void malformedRequestsAreToldSoAndGoNowhere() throws Exception {
+        try (Stub upstream = Stub.serving("x"); Bed bed = Bed.with(upstream)) {
+            for (String bad : List.of(
+                    "NONSENSE\r\n\r\n",
+                    Bed.look("a").replace("Req-Id: a\r\n", ""),
+                    Bed.look("a").replace("look", "glance"),
+                    Bed.look("a").replace("acme", "nobody"),
+                    Bed.look("a").replace("Req-Deadline-Ms: 20000", "Req-Deadline-Ms: soon"),
+                    Bed.look("a").replace("Req-Deadline-Ms: 20000", "Req-Deadline-Ms: -5"),
+                    Bed.look("a").replace("Req-Deadline-Ms: 20000", "Req-Deadline-Ms: 99999999999999999999"),
+                    Bed.look("a").replace("GET", "PUT"),
+                    Bed.post("hold", "", "x"),
+                    Bed.post("book", "Idempotency-Key: 1\r\n", "x"))) {
+                assertEquals(400, bed.ask(bad).status(), bad);
+            }
+            assertEquals(404, bed.ask(Bed.look("a").replace("/api/", "/other/")).status());
+            assertEquals(413, bed.ask(Bed.post("book", "", "x".repeat(70_000))).status());
+            assertEquals(200, bed.ask(Bed.look("good")).status());
+            assertEquals("good", Stub.header(Stub.next(upstream.heads), "Req-Id"));
+            assertNull(upstream.heads.poll(), "no other request came this far");
+        }
+    }
+
+    /** A refused connection proves that nothing ran, so that even an unsafe request may go elsewhere. */
+    @Test
+    void unsafeRequestGoesOnWhenNoConnectionComesUp() throws Exception {
+        try (Stub gone = Stub.serving("x"); Stub upstream = Stub.serving("y");
+                Bed bed = Bed.with(gone, upstream)) {
+            gone.die();
+            for (int i = 0; i < 4; i++) {
+                assertEquals("y", bed.ask(Bed.post("book", "", "b" + i)).body());
+                assertEquals("b" + i, Stub.next(upstream.bodies), "each once");
+            }
+            assertNull(upstream.bodies.poll());
+        }
+    }
+
+    /** Once written whole, an unsafe request may have run: a break then fails it and sends nothing more. */
+    @Test
+    void unsafeRequestIsNotSentAgainAfterAReset() throws Exception {
+        for (String how : List.of("reset", "close", "cut short", "nonsense", "500 Error", "503 No")) {
+            Stub.Script script = (socket, head) -> {
+                if (how.startsWith("5")) {
+                    return Stub.reply(socket, how, "", "");
+                }
+                if (how.equals("cut short")) {
+                    Stub.write(socket, "HTTP/1.1 200 OK\r\nContent-Length: 10\r\n\r\nhalf");
+                } else if (how.equals("nonsense")) {
+                    Stub.write(socket, "what is this\r\n\r\n");
+                }
+                return how.equals("reset") && Stub.reset(socket);
+            };
+            try (Stub one = new Stub(script); Stub two = new Stub(script); Bed bed = Bed.with(one, two)) {
+                assertEquals(502, bed.ask(Bed.post("book", "", "b")).status(), how);
+                assertEquals(1, one.heads.size() + two.heads.size(), how);
+            }
+        }
+    }
+
+    /** A repeat is harmless for a safe request and for one whose key the upstreams know. */
+    @Test
+    void safeAndKeyedRequestsAreSentAgainAfterAReset() throws Exception {
+        Stub.Script script = (socket, head) -> Stub.reset(socket);
+        for (String request : List.of(Bed.look("a"), Bed.post("hold", "Idempotency-Key: 1\r\n", "b"))) {
+            try (Stub one = new Stub(script); Stub two = new Stub(script); Bed bed = Bed.with(one, two)) {
+                assertEquals(503, bed.ask(request).status(), "all tried, and a retry is harmless");
+                assertEquals(1, one.heads.size());
+                assertEquals(1, two.heads.size());
+            }
+        }
+    }
+
+    /** Srv-Declined proves that nothing ran; without that header a 503 proves nothing (tested above). */
+    @Test
+    void declinedUnsafeRequestGoesElsewhere() throws Exception {
+        Stub.Script declines = (socket, head) -> Stub.reply(socket, "503 No", "Srv-Declined: 1\r\n", "");
+        try (Stub one = new Stub(declines); Stub two = new Stub(declines); Bed bed = Bed.with(one, two)) {
+            Bed.Answer answer = bed.ask(Bed.post("book", "", "b"));
+            assertEquals(503, answer.status());
+            assertEquals("0.750", Stub.header(answer.head(), "Retry-After"), "as long as the module says");
+            assertEquals(1, one.heads.size());
+            assertEquals(1, two.heads.size());
+        }
+    }
+
+    /** A client that leaves takes its attempt with it: its connection must close, not be used again. */
+    @Test
+    void hangUpClosesTheAttemptsConnection() throws Exception {
+        try (Stub silent = new Stub((socket, head) -> true); Bed bed = Bed.with(silent)) {
+            try (Bed.Client client = new Bed.Client(bed.address)) {
+                Stub.write(client.socket, Bed.look("a"));
+                Stub.next(silent.heads);
+            }
+            Stub.next(silent.ended);
+        }
+    }
+
+    /** Silent upstreams must not cost the client its answer: it comes while the client still waits. */
+    @Test
+    void silenceIsAnsweredBeforeTheClientsDeadline() throws Exception {
+        try (Stub silent = new Stub((socket, head) -> true); Bed bed = Bed.with(silent)) {
+            String shorter = Bed.post("book", "", "b").replace("Deadline-Ms: 20000", "Deadline-Ms: 1500");
+            assertEquals(502, bed.ask(shorter).status());
+            Stub.next(silent.ended);
+        }
+    }
+
+    @Test
+    void requestsAheadOfTheirTurnAreAnsweredInOrder() throws Exception {
+        Stub.Script echo = (socket, head) -> Stub.reply(socket, "200 OK", "", Stub.header(head, "Req-Id"));
+        try (Stub upstream = new Stub(echo); Bed bed = Bed.with(upstream);
+                Bed.Client client = new Bed.Client(bed.address)) {
+            Stub.write(client.socket, Bed.look("a") + Bed.look("b") + Bed.look("c"));
+            for (String id : List.of("a", "b", "c")) {
+                assertEquals(id, client.read().body());
+            }
+        }
+    }
+
+    /** A stale connection turns requests into resets: it is retired before the upstream's own idle time. */
+    @Test
+    void idleConnectionIsRetired() throws Exception {
+        try (Stub upstream = Stub.serving("x")) {
+            ObjectNode json = Bed.json(upstream);
+            json.withObject("/settings/caps").put("connIdle", 500_000_000L);
+            try (Bed bed = new Bed(json)) {
+                assertEquals(200, bed.ask(Bed.look("a")).status());
+                Stub.next(upstream.ended);
+                assertEquals(200, bed.ask(Bed.look("b")).status());
+            }
+        }
+    }
+
+    @Test
+    void connectionIsKeptAndUsedAgain() throws Exception {
+        CountDownLatch connections = new CountDownLatch(2);
+        ThreadLocal<Boolean> first = ThreadLocal.withInitial(() -> true);
+        Stub.Script counting = (socket, head) -> {
+            if (first.get()) {
+                first.set(false);
+                connections.countDown();
+            }
+            return Stub.reply(socket, "200 OK", "", "x");
+        };
+        try (Stub upstream = new Stub(counting); Bed bed = Bed.with(upstream)) {
+            for (int i = 0; i < 5; i++) {
+                assertEquals(200, bed.ask(Bed.look("a" + i)).status());
+            }
+            assertEquals(1, connections.getCount(), "one connection for all five");
+        }
+    }
+
+    @Test
+    void drainingSidecarAnswersWhatItHoldsAndEndsItsConnections() throws Exception {
+        CountDownLatch go = new CountDownLatch(1);
+        Stub.Script held = (socket, head) -> {
+            try {
+                go.await();
+            } catch (InterruptedException e) {
+                return false;
+            }
+            return Stub.reply(socket, "200 OK", "", "late");
+        };
+        try (Stub upstream = new Stub(held); Bed bed = Bed.with(upstream);
+                Bed.Client busy = new Bed.Client(bed.address);
+                Bed.Client idle = new Bed.Client(bed.address)) {
+            assertEquals(404, idle.ask("GET /none HTTP/1.1\r\nHost: a\r\n\r\n").status());
+            Stub.write(busy.socket, Bed.look("a"));
+            Stub.next(upstream.heads);
+            bed.loop.submit(bed.frontend::close).sync();
+            assertEquals(-1, idle.socket.getInputStream().read(), "an idle connection is ended");
+            assertFalse(bed.loop.submit(bed.frontend::empty).get());
+            go.countDown();
+            Bed.Answer answer = busy.read();
+            assertEquals("late", answer.body());
+            assertEquals("close", Stub.header(answer.head(), "Connection"));
+            assertEquals(-1, busy.socket.getInputStream().read());
+        }
+    }
+}
--- /dev/null
+++ b/src/test/java/pondridge/sidecar/Stub.java
@@ -0,0 +1,153 @@
+package pondridge.sidecar;
+
+import java.io.BufferedInputStream;
+import java.io.ByteArrayOutputStream;
+import java.io.IOException;
+import java.io.InputStream;
+import java.io.UncheckedIOException;
+import java.net.InetAddress;
+import java.net.InetSocketAddress;
+import java.net.ServerSocket;
+import java.net.Socket;
+import java.nio.charset.StandardCharsets;
+import java.util.Set;
+import java.util.concurrent.BlockingQueue;
+import java.util.concurrent.ConcurrentHashMap;
+import java.util.concurrent.LinkedBlockingQueue;
+import java.util.concurrent.TimeUnit;
+
+/** A peer on a port that the system chose: a script plays each request on each connection. */
+final class Stub implements AutoCloseable {
+    /** Long enough for a crowded machine; a test that passes never waits so long. */
+    static final long LIMIT_S = 30;
+
+    /** What a stub does with one request; false ends the connection. */
+    interface Script {
+        boolean play(Socket socket, String head) throws IOException;
+    }
+
+    final BlockingQueue<String> heads = new LinkedBlockingQueue<>();
+    final BlockingQueue<String> bodies = new LinkedBlockingQueue<>();
+    /** One entry each time that the other side has ended a connection. */
+    final BlockingQueue<String> ended = new LinkedBlockingQueue<>();
+    private final Set<Socket> open = ConcurrentHashMap.newKeySet();
+    private final ServerSocket server;
+    private final Script script;
+
+    Stub(Script script) {
+        this.script = script;
+        try {
+            server = new ServerSocket(0, 50, InetAddress.getLoopbackAddress());
+        } catch (IOException e) {
+            throw new UncheckedIOException(e);
+        }
+        thread(this::accept);
+    }
+
+    /** An upstream that answers each request with 200 and this body. */
+    static Stub serving(String body) {
+        return new Stub((socket, head) -> reply(socket, "200 OK", "Content-Type: text/x-part\r\n", body));
+    }
+
+    static boolean reply(Socket socket, String status, String headers, String body) throws IOException {
+        write(socket, "HTTP/1.1 " + status + "\r\n" + headers + "Content-Length: " + body.length()
+                + "\r\n\r\n" + body);
+        return true;
+    }
+
+    static void write(Socket socket, String text) throws IOException {
+        socket.getOutputStream().write(text.getBytes(StandardCharsets.ISO_8859_1));
+        socket.getOutputStream().flush();
+    }
+
+    /** Ends a connection with a reset instead of an orderly close. */
+    static boolean reset(Socket socket) throws IOException {
+        socket.setSoLinger(true, 0);
+        return false;
+    }
+
+    static void thread(Runnable work) {
+        Thread thread = new Thread(work);
+        thread.setDaemon(true);
+        thread.start();
+    }
+
+    static <T> T next(BlockingQueue<T> queue) throws InterruptedException {
+        T next = queue.poll(LIMIT_S, TimeUnit.SECONDS);
+        if (next == null) {
+            throw new AssertionError("nothing came within " + LIMIT_S + " s");
+        }
+        return next;
+    }
+
+    InetSocketAddress address() {
+        return (InetSocketAddress) server.getLocalSocketAddress();
+    }
+
+    String endpoint() {
+        return "127.0.0.1:" + server.getLocalPort();
+    }
+
+    private void accept() {
+        try {
+            while (true) {
+                Socket socket = server.accept();
+                open.add(socket);
+                thread(() -> serve(socket));
+            }
+        } catch (IOException e) {
+            // Closed: the stub's end.
+        }
+    }
+
+    private void serve(Socket socket) {
+        try (socket) {
+            InputStream in = new BufferedInputStream(socket.getInputStream());
+            for (String head = head(in); !head.isEmpty(); head = head(in)) {
+                bodies.add(new String(in.readNBytes(length(head)), StandardCharsets.ISO_8859_1));
+                heads.add(head);
+                if (!script.play(socket, head)) {
+                    return;
+                }
+            }
+            ended.add("end");
+        } catch (IOException e) {
+            ended.add("broken");
+        }
+    }
+
+    /** Reads up to and with the blank line; empty at the connection's end. */
+    static String head(InputStream in) throws IOException {
+        ByteArrayOutputStream head = new ByteArrayOutputStream();
+        for (int next = in.read(); next >= 0; next = in.read()) {
+            head.write(next);
+            if (next == '\n' && head.toString(StandardCharsets.ISO_8859_1).endsWith("\r\n\r\n")) {
+                return head.toString(StandardCharsets.ISO_8859_1);
+            }
+        }
+        return "";
+    }
+
+    static int length(String head) {
+        String length = header(head, "content-length");
+        return length == null ? 0 : Integer.parseInt(length);
+    }
+
+    static String header(String head, String name) {
+        return head.lines().filter(line -> line.regionMatches(true, 0, name + ":", 0, name.length() + 1))
+                .map(line -> line.substring(name.length() + 1).trim()).findFirst().orElse(null);
+    }
+
+    @Override
+    public void close() throws IOException {
+        die();
+    }
+
+    /** Ends as a process does: connections break, new ones are refused. */
+    void die() throws IOException {
+        server.close();
+        for (Socket socket : open) {
+            socket.close();
+        }
+    }
+}
--- /dev/null
+++ b/src/test/java/pondridge/sidecar/UpstreamsTest.java
@@ -0,0 +1,153 @@
+package pondridge.sidecar;
+
+import static org.junit.jupiter.api.Assertions.assertArrayEquals;
+import static org.junit.jupiter.api.Assertions.assertEquals;
+
+import io.netty.channel.EventLoop;
+import io.netty.channel.MultiThreadIoEventLoopGroup;
+import io.netty.channel.nio.NioIoHandler;
+import io.netty.handler.codec.http.DefaultFullHttpRequest;
+import io.netty.handler.codec.http.FullHttpRequest;
+import io.netty.handler.codec.http.HttpMethod;
+import io.netty.handler.codec.http.HttpVersion;
+import java.io.IOException;
+import java.net.InetAddress;
+import java.net.InetSocketAddress;
+import java.net.ServerSocket;
+import java.net.Socket;
+import java.net.SocketTimeoutException;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.concurrent.BlockingQueue;
+import java.util.concurrent.LinkedBlockingQueue;
+import java.util.concurrent.TimeUnit;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.Test;
+import pondridge.Balancer.Outcome;
+import pondridge.Options;
+
+/** Attempts and probes on real connections, and what they end as. */
+class UpstreamsTest {
+    private static final long LONG = 60_000_000_000L;
+    private final MultiThreadIoEventLoopGroup group =
+            new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory());
+    private final EventLoop loop = group.next();
+    private final BlockingQueue<Outcome> outcomes = new LinkedBlockingQueue<>();
+    private final BlockingQueue<float[]> reports = new LinkedBlockingQueue<>();
+
+    @AfterEach
+    void end() {
+        group.shutdownGracefully(0, 1, TimeUnit.SECONDS);
+    }
+
+    private Upstreams upstreams(InetSocketAddress address, long connectTimeout, int most) throws Exception {
+        Options options = new Options("caps.connectTimeout=" + connectTimeout
+                + "\ncaps.connIdle=60000000000\nreport.fields=rate,q");
+        return loop.submit(() -> {
+            Upstreams made = new Upstreams(loop, options, most);
+            made.listed(1, address, true);
+            return made;
+        }).get();
+    }
+
+    private void send(Upstreams upstreams) {
+        FullHttpRequest request = new DefaultFullHttpRequest(HttpVersion.HTTP_1_1, HttpMethod.GET, "/api/x");
+        loop.execute(() -> upstreams.send(1, request, LONG, this::ended));
+    }
+
+    private void ended(Outcome outcome, Engine.Answer answer, float[] load) {
+        reports.add(load);
+        outcomes.add(outcome);
+    }
+
+    /** A listener whose queue is full: its machine is there, but no connection comes up. */
+    private static List<Socket> fill(ServerSocket server) throws IOException {
+        List<Socket> fillers = new ArrayList<>();
+        while (true) {
+            Socket filler = new Socket();
+            fillers.add(filler);
+            try {
+                filler.connect(server.getLocalSocketAddress(), 300);
+            } catch (SocketTimeoutException e) {
+                return fillers;
+            }
+        }
+    }
+
+    /** Once a drain is told, a request that waits for its connection must not go there any more. */
+    @Test
+    void drainEndsTheWaitForAConnection() throws Exception {
+        try (ServerSocket full = new ServerSocket(0, 1, InetAddress.getLoopbackAddress())) {
+            List<Socket> fillers = fill(full);
+            InetSocketAddress address = (InetSocketAddress) full.getLocalSocketAddress();
+            Upstreams upstreams = upstreams(address, LONG, 10);
+            send(upstreams);
+            loop.execute(() -> upstreams.listed(1, address, false));
+            assertEquals(Outcome.CONNECT_FAILED, Stub.next(outcomes));
+            send(upstreams);
+            assertEquals(Outcome.CONNECT_FAILED, Stub.next(outcomes), "nor does a later one");
+            for (Socket filler : fillers) {
+                filler.close();
+            }
+        }
+    }
+
+    /** A machine that is cut off says nothing: the connect time-out, not the request's, ends the wait. */
+    @Test
+    void silentConnectFailsAtItsOwnTimeout() throws Exception {
+        try (ServerSocket full = new ServerSocket(0, 1, InetAddress.getLoopbackAddress())) {
+            List<Socket> fillers = fill(full);
+            send(upstreams((InetSocketAddress) full.getLocalSocketAddress(), 100_000_000, 10));
+            assertEquals(Outcome.CONNECT_FAILED, Stub.next(outcomes));
+            for (Socket filler : fillers) {
+                filler.close();
+            }
+        }
+    }
+
+    /** Descriptors are few: over the limit an attempt is not sent, instead of the process running out. */
+    @Test
+    void connectionsAreBounded() throws Exception {
+        try (Stub silent = new Stub((socket, head) -> true)) {
+            Upstreams upstreams = upstreams(silent.address(), LONG, 2);
+            send(upstreams);
+            send(upstreams);
+            Stub.next(silent.heads);
+            Stub.next(silent.heads);
+            send(upstreams);
+            assertEquals(Outcome.NEVER_SENT, Stub.next(outcomes));
+        }
+    }
+
+    /** Reports come in the settings' order, from answers and probes; bad ones are none, never a crash. */
+    @Test
+    void loadReportsAreRead() throws Exception {
+        List<String> texts = List.of("{\"q\":2,\"rate\":1.5,\"more\":0}",
+                "{\"q\":2}", "{", "[]", "{\"q\":\"x\"}");
+        try (Stub upstream = new Stub((socket, head) -> head.startsWith("GET /metrics/load")
+                ? Stub.reply(socket, "200 OK", "", "{\"rate\":7,\"q\":0}")
+                : Stub.reply(socket, "200 OK", "Srv-Load: " + Stub.header(head, "Say") + "\r\n", "x"))) {
+            Upstreams upstreams = upstreams(upstream.address(), LONG, 10);
+            for (String text : texts) {
+                FullHttpRequest request =
+                        new DefaultFullHttpRequest(HttpVersion.HTTP_1_1, HttpMethod.GET, "/");
+                request.headers().set("Say", text);
+                loop.execute(() -> upstreams.send(1, request, LONG, this::ended));
+                assertEquals(Outcome.OK, Stub.next(outcomes));
+                assertArrayEquals(text.contains("rate") ? new float[] {1.5f, 2} : new float[0],
+                        Stub.next(reports));
+            }
+            loop.execute(() -> upstreams.probe(1, this::ended));
+            assertArrayEquals(new float[] {7, 0}, Stub.next(reports));
+        }
+    }
+
+    /** An answer beyond what a body may hold must not fill the memory. */
+    @Test
+    void overlongAnswerIsAnError() throws Exception {
+        try (Stub upstream = Stub.serving("x".repeat(200_000))) {
+            send(upstreams(upstream.address(), LONG, 10));
+            assertEquals(false, Stub.next(outcomes).provesNeverRan());
+        }
+    }
+}
