--- a/src/main/java/pondridge/sidecar/Engine.java
+++ b/src/main/java/pondridge/sidecar/Engine.java
@@ -134,11 +134,16 @@
                     target.cell(), target.state(), target.weight(), target.startedMs() * 1_000_000));
         }
         tell(now -> {
-            named.forEach((id, target) ->
-                    upstreams.listed(id, target.endpoint(), target.state() == State.READY));
+            named.forEach((id, target) -> {
+                if (target.state() == State.GONE) {
+                    upstreams.gone(id);
+                } else {
+                    upstreams.listed(id, target.endpoint(), target.startedMs(),
+                            target.state() == State.READY);
+                }
+            });
             if (kind == ListKind.FULL) {
-                upstreamIds.values().stream().filter(id -> !named.containsKey(id))
-                        .forEach(id -> upstreams.listed(id, null, false));
+                upstreamIds.values().stream().filter(id -> !named.containsKey(id)).forEach(upstreams::gone);
             }
             rules.listChanged(now, kind, entries);
         });
--- a/src/main/java/pondridge/sidecar/Frontend.java
+++ b/src/main/java/pondridge/sidecar/Frontend.java
@@ -23,6 +23,7 @@
 import io.netty.handler.codec.http.HttpServerCodec;
 import io.netty.handler.codec.http.HttpUtil;
 import io.netty.handler.codec.http.HttpVersion;
+import java.io.IOException;
 import java.math.BigDecimal;
 import java.math.RoundingMode;
 import java.net.InetSocketAddress;
@@ -38,8 +39,6 @@
 /** The application's side: reads requests, answers each once, and tells malformed ones so itself. */
 final class Frontend {
     private static final int LARGEST_BODY = 1 << 16;
-    /** Clients send one request at a time; a connection that runs further ahead is at fault. */
-    private static final int MOST_PIPELINED = 16;
 
     private final Engine engine;
     private final List<RequestClass> classes;
@@ -85,15 +84,22 @@
         ready = true;
     }
 
-    /** From now on each answer ends its connection, so that clients leave while new ones still get in. */
+    /**
+     * From now on each answer ends its connection, and so do those that wait for none: a request that crosses
+     * such an end is sent again on a new connection, and new ones still get in.
+     */
     void drain() {
         draining = true;
+        closeIdle();
     }
 
-    /** Ends the listening and every connection that waits for no answer. */
+    /** Ends the listening as well. */
     void close() {
-        draining = true;
         server.close();
+        drain();
+    }
+
+    private void closeIdle() {
         for (Connection connection : List.copyOf(connections)) {
             if (!connection.busy) {
                 connection.channel.close();
@@ -124,10 +130,11 @@
         protected void channelRead0(ChannelHandlerContext context, FullHttpRequest message) {
             if (!busy) {
                 take(message);
-            } else if (waiting.size() < MOST_PIPELINED) {
-                waiting.add(message.retain());
             } else {
-                channel.close();
+                // Clients send one request at a time. Who runs ahead is read no further until answered, so
+                // that no more waits here than one read brought.
+                channel.config().setAutoRead(false);
+                waiting.add(message.retain());
             }
         }
 
@@ -217,6 +224,8 @@
                     take(next);
                     next.release();
                 });
+            } else if (!channel.config().isAutoRead()) {
+                channel.config().setAutoRead(true);
             }
         }
 
@@ -232,6 +241,9 @@
 
         @Override
         public void exceptionCaught(ChannelHandlerContext context, Throwable cause) {
+            if (!(cause instanceof IOException)) {
+                System.err.println("frontend: " + cause);
+            }
             channel.close();
         }
     }
--- a/src/main/java/pondridge/sidecar/Upstreams.java
+++ b/src/main/java/pondridge/sidecar/Upstreams.java
@@ -22,6 +22,7 @@
 import io.netty.handler.codec.http.HttpUtil;
 import io.netty.handler.codec.http.HttpVersion;
 import io.netty.util.concurrent.Future;
+import java.io.IOException;
 import java.net.InetSocketAddress;
 import java.nio.charset.StandardCharsets;
 import java.util.ArrayDeque;
@@ -72,20 +73,34 @@
 
     /**
      * Takes over what the list says of an upstream. Once it is no longer ready, nothing not yet written goes
-     * there: who waits for a connection is told that none came, idle connections are closed.
+     * there: who waits for a connection is told that none came, idle connections are closed. So are those to
+     * a process that has started anew since: a machine that vanished has not ended them, and what is written
+     * to them would count as perhaps run.
      */
-    void listed(long upstream, InetSocketAddress address, boolean ready) {
+    void listed(long upstream, InetSocketAddress address, long startedMs, boolean ready) {
         Pool pool = pools.computeIfAbsent(upstream, id -> new Pool());
-        if (address != null && !address.equals(pool.address)) {
+        if (!address.equals(pool.address) || startedMs > pool.startedMs) {
             pool.address = address;
+            pool.startedMs = startedMs;
             pool.closeIdle();
         }
-        pool.ready = ready;
-        if (!ready) {
-            pool.closeIdle();
-            for (Attempt attempt : List.copyOf(pool.unwritten)) {
-                attempt.end(Outcome.CONNECT_FAILED);
-            }
+        if (ready) {
+            pool.ready = true;
+        } else {
+            gone(upstream);
+        }
+    }
+
+    /** Takes over that an upstream drains, or is in the list no more. */
+    void gone(long upstream) {
+        Pool pool = pools.get(upstream);
+        if (pool == null) {
+            return;
+        }
+        pool.ready = false;
+        pool.closeIdle();
+        for (Attempt attempt : List.copyOf(pool.unwritten)) {
+            attempt.end(Outcome.CONNECT_FAILED);
         }
     }
 
@@ -144,6 +159,7 @@
         private final ArrayDeque<Connection> idle = new ArrayDeque<>();
         private final Set<Attempt> unwritten = new LinkedHashSet<>();
         private InetSocketAddress address;
+        private long startedMs;
         private boolean ready = true;
 
         void closeIdle() {
@@ -290,6 +306,9 @@
 
         @Override
         public void exceptionCaught(ChannelHandlerContext context, Throwable cause) {
+            if (!(cause instanceof IOException)) {
+                System.err.println("upstream " + pool.address + ": " + cause);
+            }
             lost();
         }
 
--- a/src/main/java/pondridge/sidecar/WarmUp.java
+++ b/src/main/java/pondridge/sidecar/WarmUp.java
@@ -41,7 +41,7 @@
     static void run(EventLoop loop, Options options, InetSocketAddress frontend, Runnable done) {
         decide(options.settings());
         Upstreams self = new Upstreams(loop, options, 1);
-        self.listed(0, frontend, true);
+        self.listed(0, frontend, 0, true);
         new WarmUp(self, done).ask(ROUNDS);
     }
 
--- a/src/test/java/pondridge/sidecar/SidecarTest.java
+++ b/src/test/java/pondridge/sidecar/SidecarTest.java
@@ -3,9 +3,11 @@
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertFalse;
 import static org.junit.jupiter.api.Assertions.assertNull;
+import static org.junit.jupiter.api.Assertions.assertThrows;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import com.fasterxml.jackson.databind.node.ObjectNode;
+import java.io.IOException;
 import java.util.List;
 import java.util.concurrent.CountDownLatch;
 import org.junit.jupiter.api.Test;
@@ -204,8 +206,13 @@
             assertEquals(404, idle.ask("GET /none HTTP/1.1\r\nHost: a\r\n\r\n").status());
             Stub.write(busy.socket, Bed.look("a"));
             Stub.next(upstream.heads);
-            bed.loop.submit(bed.frontend::close).sync();
+            bed.loop.submit(bed.frontend::drain).sync();
             assertEquals(-1, idle.socket.getInputStream().read(), "an idle connection is ended");
+            Bed.Answer meanwhile = bed.ask("GET /none HTTP/1.1\r\nHost: a\r\n\r\n");
+            assertEquals(404, meanwhile.status(), "and its client still gets in");
+            assertEquals("close", Stub.header(meanwhile.head(), "Connection"));
+            bed.loop.submit(bed.frontend::close).sync();
+            assertThrows(IOException.class, () -> bed.ask(Bed.look("b")), "until the listening ends");
             assertFalse(bed.loop.submit(bed.frontend::empty).get());
             go.countDown();
             Bed.Answer answer = busy.read();
--- a/src/test/java/pondridge/sidecar/UpstreamsTest.java
+++ b/src/test/java/pondridge/sidecar/UpstreamsTest.java
@@ -45,7 +45,7 @@
                 + "\ncaps.connIdle=60000000000\nreport.fields=rate,q");
         return loop.submit(() -> {
             Upstreams made = new Upstreams(loop, options, most);
-            made.listed(1, address, true);
+            made.listed(1, address, 0, true);
             return made;
         }).get();
     }
@@ -82,7 +82,7 @@
             InetSocketAddress address = (InetSocketAddress) full.getLocalSocketAddress();
             Upstreams upstreams = upstreams(address, LONG, 10);
             send(upstreams);
-            loop.execute(() -> upstreams.listed(1, address, false));
+            loop.execute(() -> upstreams.listed(1, address, 0, false));
             assertEquals(Outcome.CONNECT_FAILED, Stub.next(outcomes));
             send(upstreams);
             assertEquals(Outcome.CONNECT_FAILED, Stub.next(outcomes), "nor does a later one");
@@ -105,6 +105,20 @@
         }
     }
 
+    /** A machine that vanished and came back under its address has not ended the connections to it. */
+    @Test
+    void connectionsToTheProcessBeforeARestartAreClosed() throws Exception {
+        try (Stub upstream = Stub.serving("x")) {
+            Upstreams upstreams = upstreams(upstream.address(), LONG, 10);
+            send(upstreams);
+            assertEquals(Outcome.OK, Stub.next(outcomes));
+            loop.execute(() -> upstreams.listed(1, upstream.address(), 1_700_000_000_000L, true));
+            Stub.next(upstream.ended);
+            send(upstreams);
+            assertEquals(Outcome.OK, Stub.next(outcomes), "on a new one");
+        }
+    }
+
     /** Descriptors are few: over the limit an attempt is not sent, instead of the process running out. */
     @Test
     void connectionsAreBounded() throws Exception {
