Start from a class archive made at build

Seen: ready 1.9 s after the start, and a restart begins from nothing. With an archive of the classes the probe listened after 0.45 to 0.49 s.

--- a/src/main/java/pondridge/sidecar/Main.java
+++ b/src/main/java/pondridge/sidecar/Main.java
@@ -1,9 +1,11 @@
 package pondridge.sidecar;
 
+import io.netty.channel.ChannelFuture;
 import io.netty.channel.EventLoop;
 import io.netty.channel.MultiThreadIoEventLoopGroup;
 import io.netty.channel.nio.NioIoHandler;
 import java.io.IOException;
+import java.net.InetSocketAddress;
 import java.nio.file.Path;
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.TimeUnit;
@@ -19,7 +21,11 @@
 
     private Main() { }
 
-    /** Runs until SIGTERM; a bad configuration ends it with one line and exit status 2. */
+    /**
+     * Runs until SIGTERM, with the argument {@code rehearse} only until it is warm: that checks a
+     * configuration, and shows the build which classes belong in the class archive. A bad configuration ends
+     * it with one line and exit status 2.
+     */
     public static void main(String[] args) {
         String file = System.getenv("PROXY_CONFIG");
         Config config;
@@ -35,24 +41,33 @@
         }
         MultiThreadIoEventLoopGroup group = new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory());
         EventLoop loop = group.next();
-        loop.execute(() -> start(group, loop, config));
+        boolean rehearsal = args.length == 1 && args[0].equals("rehearse");
+        loop.execute(() -> start(group, loop, config, rehearsal));
     }
 
-    private static void start(MultiThreadIoEventLoopGroup group, EventLoop loop, Config config) {
+    private static void start(MultiThreadIoEventLoopGroup group, EventLoop loop, Config config,
+            boolean rehearsal) {
         Engine engine = new Engine(loop, config, config.sockets() / 2);
         Frontend frontend = new Frontend(engine, config.options(), config.sockets() * 3 / 8);
         engine.start(config.known());
-        frontend.listen(group, config.listen()).addListener(bound -> {
-            if (bound.isSuccess()) {
+        ChannelFuture bound = frontend.listen(group, config.listen());
+        bound.addListener(done -> {
+            if (done.isSuccess()) {
                 endAtSigterm(loop, config, engine, frontend);
-                WarmUp.run(loop, config.options(), config.listen(), frontend::ready);
+                WarmUp.run(loop, config.options(), (InetSocketAddress) bound.channel().localAddress(),
+                        rehearsal ? Main::end : frontend::ready);
             } else {
-                System.err.println("pondridge: listen: " + bound.cause().getMessage());
+                System.err.println("pondridge: listen: " + done.cause().getMessage());
                 Runtime.getRuntime().halt(1);
             }
         });
     }
 
+    /** A rehearsal is over. Not on the loop, which the shutdown hook still needs. */
+    private static void end() {
+        new Thread(() -> System.exit(0)).start();
+    }
+
     /** The hook holds the process until all is answered, or as long as the longest request may take. */
     private static void endAtSigterm(EventLoop loop, Config config, Engine engine, Frontend frontend) {
         long longest = config.options().settings().classes().stream()
