--- a/src/main/java/pondridge/Rules.java
+++ b/src/main/java/pondridge/Rules.java
@@ -17,7 +17,7 @@
  * <p>The ordinary path is {@link Pattern#pick}: a randomly drawn fixed order over all ready servers, the less
  * busy of the pointed entry and the next by this sidecar's own in-flight counts. All else either narrows who
  * may take a request now (gates in {@link Roster}, {@link Health}, {@link Admission}) or keeps the
- * books ({@link Ledger}). {@code docs/design.md} says where each departure acts and what it gained.
+ * books ({@link Ledger}). Each departure from that path says beside it which danger it meets.
  */
 public final class Rules implements Balancer {
     private final Settings settings;
--- a/src/main/java/pondridge/sidecar/Main.java
+++ b/src/main/java/pondridge/sidecar/Main.java
@@ -55,7 +55,7 @@
             if (done.isSuccess()) {
                 endAtSigterm(loop, config, engine, frontend);
                 WarmUp.run(loop, config.options(), (InetSocketAddress) bound.channel().localAddress(),
-                        rehearsal ? Main::end : frontend::ready);
+                        rehearsal ? Main::end : () -> ready(config, frontend));
             } else {
                 System.err.println("pondridge: listen: " + done.cause().getMessage());
                 Runtime.getRuntime().halt(1);
@@ -63,6 +63,11 @@
         });
     }
 
+    private static void ready(Config config, Frontend frontend) {
+        frontend.ready();
+        System.err.println("pondridge: " + config.name() + " ready at " + config.listen());
+    }
+
     /** A rehearsal is over. Not on the loop, which the shutdown hook still needs. */
     private static void end() {
         new Thread(() -> System.exit(0)).start();
--- a/src/test/java/pondridge/sidecar/SidecarTest.java
+++ b/src/test/java/pondridge/sidecar/SidecarTest.java
@@ -35,6 +35,16 @@
         }
     }
 
+    /** The largest body that the protocol allows, both ways; one byte more is refused below. */
+    @Test
+    void largestBodiesGoThrough() throws Exception {
+        String body = "x".repeat(1 << 16);
+        try (Stub upstream = Stub.serving(body); Bed bed = Bed.with(upstream)) {
+            assertEquals(body, bed.ask(Bed.post("book", "", body)).body());
+            assertEquals(body, Stub.next(upstream.bodies));
+        }
+    }
+
     /** A request in no known form must not reach an upstream: there it would void more than itself. */
     @Test
     void malformedRequestsAreToldSoAndGoNowhere() throws Exception {
@@ -53,7 +63,7 @@
                 assertEquals(400, bed.ask(bad).status(), bad);
             }
             assertEquals(404, bed.ask(Bed.look("a").replace("/api/", "/other/")).status());
-            assertEquals(413, bed.ask(Bed.post("book", "", "x".repeat(70_000))).status());
+            assertEquals(413, bed.ask(Bed.post("book", "", "x".repeat((1 << 16) + 1))).status());
             assertEquals(200, bed.ask(Bed.look("good")).status());
             assertEquals("good", Stub.header(Stub.next(upstream.heads), "Req-Id"));
             assertNull(upstream.heads.poll(), "no other request came this far");
