Test a told drain from the watch to the sends, and a broken watch's renewal

Guards against list changes that are read but not kept: until now discovery and the sends were tested apart.

--- a/src/test/java/pondridge/sidecar/SidecarTest.java
+++ b/src/test/java/pondridge/sidecar/SidecarTest.java
@@ -199,6 +199,45 @@
         }
     }
 
+    /** From watch to sends: a drain that is told ends new work there, and a broken watch is renewed. */
+    @Test
+    void toldDrainIsKeptAndABrokenWatchRenewed() throws Exception {
+        CountDownLatch go = new CountDownLatch(1);
+        try (Stub drained = Stub.serving("x"); Stub other = Stub.serving("y")) {
+            String line = "{\"rev\":42,\"all\":false,\"targets\":["
+                    + Bed.target("s-0", drained.endpoint(), "DRAINING") + "]}\n";
+            try (Stub discovery = new Stub((socket, head) -> {
+                Stub.write(socket, "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n");
+                try {
+                    go.await();
+                } catch (InterruptedException e) {
+                    return false;
+                }
+                if (head.contains("from=41 ")) {
+                    Stub.write(socket, Integer.toHexString(line.length()) + "\r\n" + line + "\r\n");
+                }
+                return false;
+            })) {
+                ObjectNode json = Bed.json(drained, other).put("discovery", discovery.endpoint());
+                json.withObject("/settings").put("discovery", "subscribe");
+                try (Bed bed = new Bed(json)) {
+                    while (drained.heads.isEmpty()) {
+                        assertEquals(200, bed.ask(Bed.look("a")).status());
+                    }
+                    go.countDown();
+                    Stub.next(drained.ended);
+                    int before = drained.heads.size();
+                    for (int i = 0; i < 6; i++) {
+                        assertEquals("y", bed.ask(Bed.look("b" + i)).body());
+                    }
+                    assertEquals(before, drained.heads.size());
+                    assertTrue(Stub.next(discovery.heads).contains("from=41 "));
+                    assertTrue(Stub.next(discovery.heads).contains("from=42 "), "where the first one ended");
+                }
+            }
+        }
+    }
+
     @Test
     void drainingSidecarAnswersWhatItHoldsAndEndsItsConnections() throws Exception {
         CountDownLatch go = new CountDownLatch(1);
