Take a new configuration at SIGHUP: discovery moves, the process lives

Discovery held one address and one version for life. Change: the handler stands from the first moment on; it reads the file on its own thread, a bad one is one line. Discovery.move closes the open calls (the old service's later words change nothing), asks the new one from version 0, and for the whole list besides if it tells changes only. Tests: a move between two services; one that tells changes only; SIGHUP three times to the packaged program, one of them with a bad file. Without the handler the last one finds the process gone.

--- a/src/main/java/pondridge/sidecar/Discovery.java
+++ b/src/main/java/pondridge/sidecar/Discovery.java
@@ -26,7 +26,9 @@
 import java.net.InetSocketAddress;
 import java.nio.charset.StandardCharsets;
 import java.util.ArrayList;
+import java.util.HashSet;
 import java.util.List;
+import java.util.Set;
 import java.util.concurrent.TimeUnit;
 import java.util.function.BiConsumer;
 import pondridge.Balancer.ListKind;
@@ -80,9 +82,12 @@
     }
 
     private final EventLoop loop;
-    private final InetSocketAddress address;
     private final BiConsumer<ListKind, List<Target>> listener;
+    private final Set<Call> calls = new HashSet<>();
+    private InetSocketAddress address;
     private long rev;
+    private boolean moved;
+    private boolean wanted;
     private Call watch;
 
     /** Tells {@code listener} of each answer and each failure, on the loop. */
@@ -96,6 +101,7 @@
 
     /** Follows changes from the last one known; a watch that is asked for again replaces the old one. */
     void watch(boolean on) {
+        wanted = on;
         if (watch != null) {
             watch.close();
             watch = null;
@@ -106,6 +112,29 @@
         }
     }
 
+    /**
+     * From now on another service is asked. What the old one may still say changes nothing; calls that were
+     * out begin again at the new one. Its versions need not follow on from the old one's, so its whole list
+     * is asked for.
+     */
+    void move(InetSocketAddress to) {
+        if (to.equals(address)) {
+            return;
+        }
+        address = to;
+        rev = 0;
+        moved = true;
+        int fetches = 0;
+        for (Call call : List.copyOf(calls)) {
+            fetches += call.watching ? 0 : 1;
+            call.close();
+        }
+        watch(wanted);
+        for (int i = 0; i < fetches; i++) {
+            fetch();
+        }
+    }
+
     /** Asks for the whole list once. */
     void fetch() {
         new Call(false).open();
@@ -124,6 +153,7 @@
         }
 
         void open() {
+            calls.add(this);
             heard();
             new Bootstrap().group(loop).channel(NioSocketChannel.class)
                     .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, CONNECT_TIMEOUT_MS)
@@ -162,6 +192,7 @@
 
         void close() {
             over = true;
+            calls.remove(this);
             silence.cancel(false);
             if (channel != null) {
                 channel.close();
@@ -232,6 +263,13 @@
             Listing listing = Listing.of(node);
             rev = listing.rev();
             answered = true;
+            if (moved) {
+                moved = false;
+                if (!listing.all()) {
+                    // Only changes: who was listed by the old service and is not by this one would stay.
+                    fetch();
+                }
+            }
             listener.accept(listing.all() ? ListKind.FULL : ListKind.DELTA, listing.targets());
         }
 
--- a/src/main/java/pondridge/sidecar/Engine.java
+++ b/src/main/java/pondridge/sidecar/Engine.java
@@ -95,6 +95,11 @@
         listed(ListKind.CACHED, known.targets());
     }
 
+    /** Takes a new configuration over: where discovery is. All else stays as it was at the start. */
+    void reconfigure(Config config) {
+        discovery.move(config.discovery());
+    }
+
     /** Nanoseconds since 1970 that never run back, so that start times in the list can be compared. */
     private long now() {
         return System.nanoTime() + clockOffset;
--- a/src/main/java/pondridge/sidecar/Main.java
+++ b/src/main/java/pondridge/sidecar/Main.java
@@ -5,10 +5,13 @@
 import io.netty.channel.MultiThreadIoEventLoopGroup;
 import io.netty.channel.nio.NioIoHandler;
 import java.io.IOException;
+import java.lang.reflect.Proxy;
 import java.net.InetSocketAddress;
 import java.nio.file.Path;
+import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.TimeUnit;
+import java.util.function.Consumer;
 import pondridge.Balancer.RequestClass;
 
 /** Entry point of the real sidecar: configuration, start, and an orderly end at SIGTERM. */
@@ -28,6 +31,8 @@
      */
     public static void main(String[] args) {
         String file = System.getenv("PROXY_CONFIG");
+        CompletableFuture<Consumer<Config>> running = new CompletableFuture<>();
+        reloadAtSighup(file, running);
         Config config;
         try {
             if (file == null) {
@@ -42,14 +47,54 @@
         MultiThreadIoEventLoopGroup group = new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory());
         EventLoop loop = group.next();
         boolean rehearsal = args.length == 1 && args[0].equals("rehearse");
-        loop.execute(() -> start(group, loop, config, rehearsal));
+        loop.execute(() -> start(group, loop, config, rehearsal, running));
+    }
+
+    /**
+     * Left to itself the JVM ends at SIGHUP. It calls this handler on a thread of its own, so reading the
+     * file holds nobody up; one that comes before the start is over waits for it. A bad file changes nothing.
+     */
+    private static void reloadAtSighup(String file, CompletableFuture<Consumer<Config>> running) {
+        onSighup(() -> {
+            Consumer<Config> takeOver = running.join();
+            synchronized (running) {
+                try {
+                    takeOver.accept(Config.read(Path.of(file)));
+                } catch (IllegalArgumentException | IOException e) {
+                    System.err.println("pondridge: new configuration not taken: " + e.getMessage());
+                }
+            }
+        });
+    }
+
+    /**
+     * Java's one way to a signal is {@code sun.misc.Signal}, from the module jdk.unsupported. Reached by
+     * reflection since the compiler warns of its name, and that warning can't be turned off by itself.
+     */
+    private static void onSighup(Runnable action) {
+        try {
+            Class<?> signal = Class.forName("sun.misc.Signal");
+            Class<?> handler = Class.forName("sun.misc.SignalHandler");
+            Object ours = Proxy.newProxyInstance(Main.class.getClassLoader(), new Class<?>[] {handler},
+                    (proxy, method, arguments) -> {
+                        if (method.getName().equals("handle")) {
+                            action.run();
+                        }
+                        return null;
+                    });
+            signal.getMethod("handle", signal, handler)
+                    .invoke(null, signal.getConstructor(String.class).newInstance("HUP"), ours);
+        } catch (ReflectiveOperationException e) {
+            System.err.println("pondridge: SIGHUP would end this program: " + e);
+        }
     }
 
     private static void start(MultiThreadIoEventLoopGroup group, EventLoop loop, Config config,
-            boolean rehearsal) {
+            boolean rehearsal, CompletableFuture<Consumer<Config>> running) {
         Engine engine = new Engine(loop, config, config.sockets() / 2);
         Frontend frontend = new Frontend(engine, config.options(), config.sockets() * 3 / 8);
         engine.start(config.known());
+        running.complete(read -> loop.execute(() -> engine.reconfigure(read)));
         ChannelFuture bound = frontend.listen(group, config.listen());
         bound.addListener(done -> {
             if (done.isSuccess()) {
--- a/src/test/java/pondridge/sidecar/DeployedIT.java
+++ b/src/test/java/pondridge/sidecar/DeployedIT.java
@@ -4,6 +4,7 @@
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import com.fasterxml.jackson.databind.node.ObjectNode;
+import java.io.BufferedReader;
 import java.io.IOException;
 import java.net.ConnectException;
 import java.net.InetAddress;
@@ -37,12 +38,21 @@
         String line = Files.readAllLines(Path.of("deploy/balancer.toml")).stream()
                 .filter(each -> each.startsWith(key + " = \"")).findFirst().orElseThrow();
         String command = line.substring(line.indexOf('"') + 1, line.lastIndexOf('"'));
-        Path file = Files.writeString(folder.resolve("config.json"), config.toString());
+        Path file = write(config.toString());
         ProcessBuilder builder = new ProcessBuilder("/bin/sh", "-c", command);
         builder.environment().put("PROXY_CONFIG", file.toString());
         process = builder.start();
     }
 
+    private Path write(String config) throws IOException {
+        return Files.writeString(folder.resolve("config.json"), config);
+    }
+
+    /** SIGHUP, to the program itself: the shell that started it has become it. */
+    private void hangUp() throws Exception {
+        assertEquals(0, new ProcessBuilder("kill", "-HUP", Long.toString(process.pid())).start().waitFor());
+    }
+
     private int exit() throws InterruptedException {
         assertTrue(process.waitFor(Stub.LIMIT_S, TimeUnit.SECONDS), "still running");
         return process.exitValue();
@@ -109,6 +119,40 @@
         }
     }
 
+    /** The JVM's own way with SIGHUP is to end: here each one brings the file's new discovery, under way. */
+    @Test
+    void sighupTakesTheNewDiscoveryAndABadFileChangesNothing() throws Exception {
+        try (Stub upstream = Stub.serving("x"); Stub first = new Stub((socket, head) -> true);
+                Stub second = new Stub((socket, head) -> true);
+                Stub third = new Stub((socket, head) -> true)) {
+            InetSocketAddress address = freeAddress();
+            ObjectNode json = Bed.json(upstream).put("listen", "127.0.0.1:" + address.getPort())
+                    .put("discovery", first.endpoint());
+            json.withObject("/settings").put("discovery", "subscribe");
+            start("run", json);
+            awaitUp(address);
+            Stub.next(first.heads);
+            write(json.put("discovery", second.endpoint()).toString());
+            hangUp();
+            assertTrue(Stub.next(second.heads).contains("watch=1"));
+            Stub.next(first.ended);
+            write("{\"listen\":");
+            hangUp();
+            BufferedReader log = process.errorReader();
+            String line = log.readLine();
+            while (!line.contains("not taken")) {
+                line = log.readLine();
+            }
+            write(json.put("discovery", third.endpoint()).toString());
+            hangUp();
+            assertTrue(Stub.next(third.heads).contains("watch=1"));
+            try (Bed.Client client = new Bed.Client(address)) {
+                assertEquals(200, client.ask(Bed.look("a")).status());
+            }
+            assertEquals(0, second.heads.size(), "a bad file starts nothing anew");
+        }
+    }
+
     @Test
     void badConfigurationEndsWithOneLineNamingTheKey() throws Exception {
         ObjectNode json = Bed.json();
--- a/src/test/java/pondridge/sidecar/DiscoveryTest.java
+++ b/src/test/java/pondridge/sidecar/DiscoveryTest.java
@@ -103,4 +103,51 @@
             assertEquals(0, told.size());
         }
     }
+
+    /** After a move the new service's list holds, whatever its version; the old one is heard no more. */
+    @Test
+    void movedWatchAsksForTheWholeListAndDropsTheOldOne() throws Exception {
+        Stub.Script silent = (socket, head) -> {
+            Stub.write(socket, CHUNKED + chunk("{\"rev\":50,\"all\":true,\"targets\":[]}\n"));
+            return true;
+        };
+        String whole = "{\"rev\":3,\"all\":true,\"targets\":[" + entry("SERVING") + "]}\n";
+        try (Stub old = new Stub(silent); Stub next = new Stub((socket, head) -> {
+            Stub.write(socket, CHUNKED + chunk(whole));
+            return true;
+        })) {
+            Discovery discovery = discovery(old);
+            loop.execute(() -> discovery.watch(true));
+            assertEquals(ListKind.FULL, Stub.next(told).kind);
+            loop.execute(() -> discovery.move(next.address()));
+            assertEquals("end", Stub.next(old.ended), "the old watch is closed");
+            assertTrue(Stub.next(next.heads).startsWith("GET /discovery/hosts?watch=1&from=0 HTTP/1.1"));
+            Told list = Stub.next(told);
+            assertEquals(ListKind.FULL, list.kind);
+            assertEquals(1, list.targets.size());
+            old.die();
+            loop.submit(() -> { }).sync();
+            assertEquals(0, told.size(), "neither a failure nor a word of the old one");
+        }
+    }
+
+    /** A new service that tells changes only leaves open who is gone: the whole list is asked for besides. */
+    @Test
+    void movedWatchThatTellsOnlyChangesIsFollowedByTheWholeList() throws Exception {
+        String whole = "{\"rev\":3,\"all\":true,\"targets\":[" + entry("SERVING") + "]}";
+        try (Stub old = new Stub((socket, head) -> true); Stub next = new Stub((socket, head) -> {
+            if (!head.contains("watch=1")) {
+                return Stub.reply(socket, "200 OK", "", whole);
+            }
+            Stub.write(socket, CHUNKED + chunk("{\"rev\":3,\"all\":false,\"targets\":[]}\n"));
+            return true;
+        })) {
+            Discovery discovery = discovery(old);
+            loop.execute(() -> discovery.watch(true));
+            Stub.next(old.heads);
+            loop.execute(() -> discovery.move(next.address()));
+            assertEquals(ListKind.DELTA, Stub.next(told).kind);
+            assertEquals(ListKind.FULL, Stub.next(told).kind);
+        }
+    }
 }
