Count an answer once all that came with it is read; fail what can't be an answer at once

Causes, in Upstreams: - channelRead0 gave the connection back before the rest of the read was decoded; the module sends within that call and took a second copy for the new answer. - Noise without a line's end waited for the time-out; answers without a length passed as whole when cut; the decoder drops the length beside a chunked coding; a bad report could spoil its answer. - A probe (every answer logged with what else was read) showed what was left of the lost ones: not one had anything behind it, but a head line of words without a colon, which the decoder takes for an empty header. - A socket that can't be made left the count of connections one too high for good, and told so on another thread. At the limit idle connections to others were kept and the request not sent. Pools of gone upstreams stayed for ever. Ruled out: the race of a copy that comes after the connection is used again (no answer had a second with the same first bytes). Test: all of these over loopback, each fails without its mend (the waits by running out).

--- a/src/main/java/pondridge/sidecar/Headers.java
+++ b/src/main/java/pondridge/sidecar/Headers.java
@@ -2,7 +2,11 @@
 
 import io.netty.handler.codec.http.HttpHeaderNames;
 import io.netty.handler.codec.http.HttpHeaders;
+import io.netty.handler.codec.http.HttpMessage;
+import io.netty.handler.codec.http.HttpVersion;
+import io.netty.util.AsciiString;
 import java.util.List;
+import java.util.Map;
 
 /** Which headers go on through the sidecar. */
 final class Headers {
@@ -15,9 +19,22 @@
 
     private Headers() { }
 
+    /** Whether a message's transfer coding is plain chunks: any other leaves open where it ends. */
+    static boolean onlyChunked(HttpMessage message) {
+        List<String> codings = message.headers().getAll(HttpHeaderNames.TRANSFER_ENCODING);
+        return codings.size() == 1 && codings.get(0).trim().equalsIgnoreCase("chunked")
+                && message.protocolVersion().equals(HttpVersion.HTTP_1_1)
+                && !message.headers().contains(HttpHeaderNames.CONTENT_LENGTH);
+    }
+
     /** Copies all but the headers of one hop, and of those also what {@code Connection} names. */
     static void copyEndToEnd(HttpHeaders from, HttpHeaders to) {
-        to.set(from);
+        for (Map.Entry<String, String> header : from) {
+            String name = header.getKey();
+            if (HOP_BY_HOP.stream().noneMatch(hop -> AsciiString.contentEqualsIgnoreCase(hop, name))) {
+                to.add(name, header.getValue());
+            }
+        }
         for (String value : from.getAll(HttpHeaderNames.CONNECTION)) {
             for (String named : value.split(",")) {
                 if (!named.isBlank()) {
@@ -25,6 +42,5 @@
                 }
             }
         }
-        HOP_BY_HOP.forEach(to::remove);
     }
 }
--- a/src/main/java/pondridge/sidecar/Upstreams.java
+++ b/src/main/java/pondridge/sidecar/Upstreams.java
@@ -3,6 +3,7 @@
 import com.fasterxml.jackson.core.JsonProcessingException;
 import com.fasterxml.jackson.databind.JsonNode;
 import io.netty.bootstrap.Bootstrap;
+import io.netty.buffer.ByteBuf;
 import io.netty.buffer.ByteBufUtil;
 import io.netty.channel.Channel;
 import io.netty.channel.ChannelHandlerContext;
@@ -11,17 +12,27 @@
 import io.netty.channel.EventLoop;
 import io.netty.channel.SimpleChannelInboundHandler;
 import io.netty.channel.socket.nio.NioSocketChannel;
+import io.netty.handler.codec.CorruptedFrameException;
+import io.netty.handler.codec.DecoderException;
 import io.netty.handler.codec.http.DefaultFullHttpRequest;
+import io.netty.handler.codec.http.DefaultHttpHeaders;
 import io.netty.handler.codec.http.FullHttpRequest;
-import io.netty.handler.codec.http.FullHttpResponse;
-import io.netty.handler.codec.http.HttpClientCodec;
+import io.netty.handler.codec.http.HttpContent;
+import io.netty.handler.codec.http.HttpDecoderConfig;
 import io.netty.handler.codec.http.HttpHeaderNames;
+import io.netty.handler.codec.http.HttpHeaders;
+import io.netty.handler.codec.http.HttpMessage;
 import io.netty.handler.codec.http.HttpMethod;
-import io.netty.handler.codec.http.HttpObjectAggregator;
-import io.netty.handler.codec.http.HttpStatusClass;
+import io.netty.handler.codec.http.HttpObject;
+import io.netty.handler.codec.http.HttpRequestEncoder;
+import io.netty.handler.codec.http.HttpResponse;
+import io.netty.handler.codec.http.HttpResponseDecoder;
 import io.netty.handler.codec.http.HttpUtil;
 import io.netty.handler.codec.http.HttpVersion;
+import io.netty.handler.codec.http.LastHttpContent;
+import io.netty.util.AsciiString;
 import io.netty.util.concurrent.Future;
+import java.io.ByteArrayOutputStream;
 import java.io.IOException;
 import java.net.InetSocketAddress;
 import java.nio.charset.StandardCharsets;
@@ -42,6 +53,8 @@
 final class Upstreams {
     /** A body's 64 KiB and no more, so that answers can't fill the memory. */
     private static final int LARGEST_ANSWER = 1 << 16;
+    /** Some answers come behind interim ones; more than a few are no way to an answer. */
+    private static final int MOST_INTERIM = 16;
     private static final long PROBE_TIMEOUT = 250_000_000;
     private static final String LOAD_PATH = "/metrics/load";
     private static final float[] NO_REPORT = {};
@@ -57,6 +70,8 @@
     private final int mostConnections;
     private final List<String> reportFields;
     private final Map<Long, Pool> pools = new HashMap<>();
+    /** Stands for every upstream that is not listed. */
+    private final Pool nobody = new Pool();
     private final Future<?> retirement;
     private int connections;
 
@@ -87,35 +102,30 @@
         if (ready) {
             pool.ready = true;
         } else {
-            gone(upstream);
+            pool.shut();
         }
     }
 
-    /** Takes over that an upstream drains, or is in the list no more. */
+    /** Takes over that an upstream is in the list no more: what is still out there ends by itself. */
     void gone(long upstream) {
-        Pool pool = pools.get(upstream);
-        if (pool == null) {
-            return;
-        }
-        pool.ready = false;
-        pool.closeIdle();
-        for (Attempt attempt : List.copyOf(pool.unwritten)) {
-            attempt.end(Outcome.CONNECT_FAILED);
+        Pool pool = pools.remove(upstream);
+        if (pool != null) {
+            pool.shut();
         }
     }
 
     /** Sends a request as one attempt; {@code wait} in nanoseconds bounds it. */
     Attempt send(long upstream, FullHttpRequest request, long wait, Listener listener) {
-        Pool pool = pools.computeIfAbsent(upstream, id -> new Pool());
+        Pool pool = pools.getOrDefault(upstream, nobody);
         Attempt attempt = new Attempt(pool, request, listener);
         attempt.timer = loop.schedule(attempt::late, wait, TimeUnit.NANOSECONDS);
         pool.unwritten.add(attempt);
-        Connection idle = pool.idle.pollLast();
-        if (!pool.ready || pool.address == null) {
+        Connection idle = pool.ready ? pool.take() : null;
+        if (!pool.ready) {
             attempt.end(Outcome.CONNECT_FAILED);
         } else if (idle != null) {
             idle.write(attempt);
-        } else if (connections >= mostConnections) {
+        } else if (connections >= mostConnections && !closeLongestIdle()) {
             attempt.end(Outcome.NEVER_SENT);
         } else {
             new Connection(pool).open(attempt);
@@ -145,6 +155,21 @@
         pools.values().forEach(Pool::closeIdle);
     }
 
+    /** Makes room for a connection where it is needed; false if every one is in use. */
+    private boolean closeLongestIdle() {
+        Connection longest = null;
+        for (Pool pool : pools.values()) {
+            Connection first = pool.idle.peekFirst();
+            if (first != null && (longest == null || first.idleSince < longest.idleSince)) {
+                longest = first;
+            }
+        }
+        if (longest != null) {
+            longest.close();
+        }
+        return longest != null;
+    }
+
     private void retire() {
         long now = System.nanoTime();
         for (Pool pool : pools.values()) {
@@ -160,7 +185,26 @@
         private final Set<Attempt> unwritten = new LinkedHashSet<>();
         private InetSocketAddress address;
         private long startedMs;
-        private boolean ready = true;
+        private boolean ready;
+
+        /** The lately used one, unless more has come there than was asked for. */
+        Connection take() {
+            Connection last = idle.pollLast();
+            while (last != null && last.decoder.holds()) {
+                last.close();
+                last = idle.pollLast();
+            }
+            return last;
+        }
+
+        /** Nothing not yet written goes there any more. */
+        void shut() {
+            ready = false;
+            closeIdle();
+            for (Attempt attempt : List.copyOf(unwritten)) {
+                attempt.end(Outcome.CONNECT_FAILED);
+            }
+        }
 
         void closeIdle() {
             while (!idle.isEmpty()) {
@@ -198,6 +242,7 @@
             end(written ? Outcome.RESET : Outcome.CONNECT_FAILED);
         }
 
+        /** Ends it without an answer, unless it has ended before; its connection is of no further use. */
         private void end(Outcome outcome) {
             if (!over) {
                 if (connection != null) {
@@ -215,18 +260,81 @@
         }
     }
 
-    private final class Connection extends SimpleChannelInboundHandler<FullHttpResponse> {
+    /**
+     * Reads answers. What can't be one is told at its first bytes: left to itself the decoder skips control
+     * characters and waits for the end of a line that may never come.
+     */
+    private static final class Decoder extends HttpResponseDecoder {
+        private static final byte[] START = "HTTP/1.".getBytes(StandardCharsets.US_ASCII);
+        private boolean begun;
+
+        /** Headers are looked at later: a load report may hold anything and spoils only itself. */
+        Decoder() {
+            super(new HttpDecoderConfig().setValidateHeaders(false));
+        }
+
+        /** Whether something has come that is no whole part of an answer yet. */
+        boolean holds() {
+            return actualReadableBytes() > 0;
+        }
+
+        @Override
+        protected void decode(ChannelHandlerContext context, ByteBuf in, List<Object> out) throws Exception {
+            if (!begun) {
+                int known = Math.min(START.length, in.readableBytes());
+                for (int i = 0; i < known; i++) {
+                    if (in.getByte(in.readerIndex() + i) != START[i]) {
+                        throw new CorruptedFrameException("no answer");
+                    }
+                }
+                if (known < START.length) {
+                    return;
+                }
+                begun = true;
+            }
+            super.decode(context, in, out);
+            if (!out.isEmpty() && out.get(out.size() - 1) instanceof LastHttpContent) {
+                begun = false;
+            }
+        }
+
+        /** In an answer the decoder takes a line of words without a colon for a header with no value. */
+        @Override
+        protected AsciiString splitHeaderName(byte[] line, int start, int length) {
+            if (start + length >= line.length || line[start + length] != ':') {
+                throw new CorruptedFrameException("no colon");
+            }
+            return super.splitHeaderName(line, start, length);
+        }
+
+        @Override
+        protected void handleTransferEncodingChunkedWithContentLength(HttpMessage message) {
+            throw new CorruptedFrameException("two lengths");
+        }
+    }
+
+    /**
+     * One connection, one request at a time. An answer counts once all that came with it has been read: only
+     * then is it known whether more has come than was asked for, and whether the next request may follow.
+     */
+    private final class Connection extends SimpleChannelInboundHandler<HttpObject> {
         private final Pool pool;
+        private final Decoder decoder = new Decoder();
         private Channel channel;
         private Attempt current;
         private long idleSince;
+        private HttpResponse head;
+        private HttpHeaders headers;
+        private final ByteArrayOutputStream body = new ByteArrayOutputStream();
+        private int interim;
+        private boolean whole;
+        private boolean soiled;
 
         Connection(Pool pool) {
             this.pool = pool;
         }
 
         void open(Attempt first) {
-            connections++;
             current = first;
             first.connection = this;
             new Bootstrap().group(loop).channel(NioSocketChannel.class)
@@ -236,14 +344,17 @@
                         @Override
                         protected void initChannel(Channel made) {
                             channel = made;
+                            connections++;
                             made.closeFuture().addListener(closed -> connections--);
-                            made.pipeline().addLast(new HttpClientCodec(),
-                                    new HttpObjectAggregator(LARGEST_ANSWER), Connection.this);
+                            made.pipeline().addLast(new HttpRequestEncoder(), decoder, Connection.this);
                         }
                     })
                     .connect(pool.address)
                     .addListener(done -> {
-                        if (!done.isSuccess()) {
+                        if (channel == null) {
+                            // No socket could be made, which is no fault of the upstream's; told elsewhere.
+                            loop.execute(() -> first.end(Outcome.NEVER_SENT));
+                        } else if (!done.isSuccess()) {
                             first.broken();
                         } else if (first.over) {
                             close();
@@ -256,6 +367,7 @@
         void write(Attempt attempt) {
             current = attempt;
             attempt.connection = this;
+            interim = 0;
             channel.writeAndFlush(attempt.request).addListener(done -> {
                 if (done.isSuccess()) {
                     attempt.written = true;
@@ -274,29 +386,91 @@
         }
 
         @Override
-        protected void channelRead0(ChannelHandlerContext context, FullHttpResponse response) {
-            Attempt attempt = current;
-            if (response.status().codeClass() == HttpStatusClass.INFORMATIONAL) {
+        protected void channelRead0(ChannelHandlerContext context, HttpObject message) {
+            if (current == null || current.over || whole || message.decoderResult().isFailure()) {
+                spoilt();
                 return;
             }
-            if (attempt == null || attempt.over || response.decoderResult().isFailure()) {
-                if (attempt != null) {
-                    attempt.end(Outcome.ERROR);
+            if (message instanceof HttpResponse response && !begin(response)) {
+                spoilt();
+                return;
+            }
+            if (message instanceof HttpContent content && head != null) {
+                ByteBuf bytes = content.content();
+                if (body.size() + bytes.readableBytes() > LARGEST_ANSWER) {
+                    spoilt();
+                    return;
                 }
-                close();
+                body.writeBytes(ByteBufUtil.getBytes(bytes));
+                whole = message instanceof LastHttpContent;
+            }
+        }
+
+        /**
+         * Looks at an answer's head; false if it spoils the answer. One that says nowhere where it ends goes
+         * on until the connection does, and a cut would pass as its end.
+         */
+        private boolean begin(HttpResponse response) {
+            int code = response.status().code();
+            if (code / 100 == 1) {
+                return code != 101 && ++interim <= MOST_INTERIM;
+            }
+            HttpHeaders given = response.headers();
+            boolean bounded = given.contains(HttpHeaderNames.TRANSFER_ENCODING)
+                    ? Headers.onlyChunked(response) : HttpUtil.getContentLength(response, -1L) >= 0;
+            if (!bounded && code != 204 && code != 304
+                    || HttpUtil.getContentLength(response, 0L) > LARGEST_ANSWER) {
+                return false;
+            }
+            try {
+                headers = new DefaultHttpHeaders();
+                Headers.copyEndToEnd(given, headers);
+            } catch (IllegalArgumentException e) {
+                return false;
+            }
+            head = response;
+            body.reset();
+            return true;
+        }
+
+        @Override
+        public void channelReadComplete(ChannelHandlerContext context) {
+            if (!whole) {
                 return;
             }
+            Attempt attempt = current;
+            HttpResponse response = head;
+            Outcome outcome = attempt.written || response.status().code() != 200 ? outcome(response)
+                    : Outcome.ERROR;
+            float[] load = load(response, attempt.request.uri().equals(LOAD_PATH)
+                    ? body.toString(StandardCharsets.UTF_8) : null);
+            Engine.Answer answer = outcome == Outcome.OK ? new Engine.Answer(headers, body.toByteArray())
+                    : null;
+            boolean reusable = HttpUtil.isKeepAlive(response) && attempt.written && pool.ready && !soiled
+                    && !decoder.holds() && channel.isActive();
             current = null;
-            if (HttpUtil.isKeepAlive(response) && attempt.written && pool.ready) {
+            head = null;
+            headers = null;
+            whole = false;
+            if (reusable) {
                 idleSince = System.nanoTime();
                 pool.idle.addLast(this);
             } else {
                 close();
             }
-            Outcome outcome = outcome(response);
-            attempt.end(outcome, outcome == Outcome.OK ? new Engine.Answer(response.headers(),
-                    ByteBufUtil.getBytes(response.content())) : null,
-                    load(response, attempt.request.uri().equals(LOAD_PATH)));
+            attempt.end(outcome, answer, load);
+        }
+
+        /** Something came that is no answer or not asked for. What is whole already stays good. */
+        private void spoilt() {
+            if (whole) {
+                soiled = true;
+            } else if (current != null) {
+                current.end(Outcome.ERROR);
+            }
+            if (!whole) {
+                close();
+            }
         }
 
         @Override
@@ -306,10 +480,14 @@
 
         @Override
         public void exceptionCaught(ChannelHandlerContext context, Throwable cause) {
-            if (!(cause instanceof IOException)) {
-                System.err.println("upstream " + pool.address + ": " + cause);
+            if (cause instanceof DecoderException) {
+                spoilt();
+            } else {
+                if (!(cause instanceof IOException)) {
+                    System.err.println("upstream " + pool.address + ": " + cause);
+                }
+                lost();
             }
-            lost();
         }
 
         private void lost() {
@@ -320,7 +498,7 @@
         }
     }
 
-    private static Outcome outcome(FullHttpResponse response) {
+    private static Outcome outcome(HttpResponse response) {
         return switch (response.status().code()) {
             case 200 -> Outcome.OK;
             case 503, 504 -> "1".equals(response.headers().get("Srv-Declined")) ? Outcome.REJECTED
@@ -330,10 +508,10 @@
     }
 
     /** The load report in the order of the settings' fields; empty where there is none that can be read. */
-    private float[] load(FullHttpResponse response, boolean probe) {
+    private float[] load(HttpResponse response, String probed) {
         String text = response.headers().get("Srv-Load");
-        if (text == null && probe) {
-            text = response.content().toString(StandardCharsets.UTF_8);
+        if (text == null) {
+            text = probed;
         }
         if (text == null || reportFields.isEmpty()) {
             return NO_REPORT;
@@ -347,6 +525,9 @@
                     return NO_REPORT;
                 }
                 values[i] = value.floatValue();
+                if (!(values[i] >= 0 && values[i] < Float.POSITIVE_INFINITY)) {
+                    return NO_REPORT;
+                }
             }
             return values;
         } catch (JsonProcessingException e) {
--- a/src/test/java/pondridge/sidecar/Stub.java
+++ b/src/test/java/pondridge/sidecar/Stub.java
@@ -50,7 +50,13 @@
     }
 
     static boolean reply(Socket socket, String status, String headers, String body) throws IOException {
-        write(socket, "HTTP/1.1 " + status + "\r\n" + headers + "Content-Length: " + body.length()
+        return reply(socket, status, headers, body, body.length());
+    }
+
+    /** A reply whose body may be longer or shorter than it says. */
+    static boolean reply(Socket socket, String status, String headers, String body, int said)
+            throws IOException {
+        write(socket, "HTTP/1.1 " + status + "\r\n" + headers + "Content-Length: " + said
                 + "\r\n\r\n" + body);
         return true;
     }
--- a/src/test/java/pondridge/sidecar/UpstreamsTest.java
+++ b/src/test/java/pondridge/sidecar/UpstreamsTest.java
@@ -16,6 +16,7 @@
 import java.net.ServerSocket;
 import java.net.Socket;
 import java.net.SocketTimeoutException;
+import java.nio.charset.StandardCharsets;
 import java.util.ArrayList;
 import java.util.List;
 import java.util.concurrent.BlockingQueue;
@@ -164,4 +165,115 @@
             assertEquals(false, Stub.next(outcomes).provesNeverRan());
         }
     }
+
+    /**
+     * What comes right behind an answer, unasked for, must never be taken for the next one: not even by a
+     * request that is sent from within the first one's end.
+     */
+    @Test
+    void whatFollowsAnAnswerIsNotTheNextOne() throws Exception {
+        String stale = "HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nstale";
+        for (String extra : List.of(stale, stale.substring(0, 20), "\u0000\u0007noise", "\r\n")) {
+            try (Stub upstream = new Stub((socket, head) -> head.startsWith("GET /first")
+                    ? Stub.reply(socket, "200 OK", "", "first" + extra, 5)
+                    : Stub.reply(socket, "200 OK", "", "second"))) {
+                Upstreams upstreams = upstreams(upstream.address(), LONG, 10);
+                BlockingQueue<String> bodies = new LinkedBlockingQueue<>();
+                loop.execute(() -> upstreams.send(1, get("/first"), LONG, (outcome, answer, load) -> {
+                    bodies.add(text(answer));
+                    upstreams.send(1, get("/second"), LONG, (later, next, more) -> bodies.add(text(next)));
+                }));
+                assertEquals("first", Stub.next(bodies));
+                assertEquals("second", Stub.next(bodies), extra);
+                Stub.next(upstream.ended);
+            }
+        }
+    }
+
+    /** A spoilt answer may stand on a connection that stays open: it has failed now, not when time is up. */
+    @Test
+    void spoiltAnswersFailAtOnceAndEndTheirConnection() throws Exception {
+        for (String spoilt : List.of(
+                "\u0001\u0002\u0003",
+                "\r\n\r\n",
+                "HTTP/2.x",
+                "HTTP/1.1 two hundred\r\n\r\n",
+                "HTTP/1.1 200 OK\r\nno colon\r\nContent-Length: 1\r\n\r\nx",
+                "HTTP/1.1 200 OK\r\nnone\r\nContent-Length: 1\r\n\r\nx",
+                "HTTP/1.1 200 OK\r\nbad name: x\r\nContent-Length: 1\r\n\r\nx",
+                "HTTP/1.1 200 OK\r\n\r\nends with the connection",
+                "HTTP/1.1 200 OK\r\nContent-Length: x\r\n\r\n",
+                "HTTP/1.1 200 OK\r\nContent-Length: -1\r\n\r\n",
+                "HTTP/1.1 200 OK\r\nContent-Length: 1\r\nContent-Length: 2\r\n\r\nxx",
+                "HTTP/1.1 200 OK\r\nContent-Length: 1\r\nContent-Length: 1\r\n\r\nx",
+                "HTTP/1.1 200 OK\r\nContent-Length: 1\r\nTransfer-Encoding: chunked\r\n\r\n"
+                        + "1\r\nx\r\n0\r\n\r\n",
+                "HTTP/1.1 200 OK\r\nTransfer-Encoding: gzip, chunked\r\n\r\n1\r\nx\r\n0\r\n\r\n",
+                "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\nzz\r\n",
+                "HTTP/1.1 200 OK\r\nContent-Length: 3000000000\r\n\r\n",
+                "HTTP/1.1 200 OK\r\nX: " + "x".repeat(20_000),
+                "HTTP/1.1 101 Switching\r\n\r\n",
+                "HTTP/1.1 100 Go on\r\n\r\n".repeat(100))) {
+            try (Stub upstream = new Stub((socket, head) -> {
+                Stub.write(socket, spoilt);
+                return true;
+            })) {
+                send(upstreams(upstream.address(), LONG, 10));
+                assertEquals(Outcome.ERROR, Stub.next(outcomes), spoilt);
+                Stub.next(upstream.ended);
+            }
+        }
+    }
+
+    /** What a good answer brings besides spoils nothing: interim answers ahead, a report of any bytes. */
+    @Test
+    void interimAnswersAndUnreadableReportsSpoilNothing() throws Exception {
+        try (Stub upstream = new Stub((socket, head) -> {
+            Stub.write(socket, "HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 103 Early\r\nLink: x\r\n\r\n");
+            return Stub.reply(socket, "200 OK", "Srv-Load: \u0001{\"rate\":1e99,\"q\":-3}\r\n", "x");
+        })) {
+            Upstreams upstreams = upstreams(upstream.address(), LONG, 10);
+            for (int i = 0; i < 3; i++) {
+                send(upstreams);
+                assertEquals(Outcome.OK, Stub.next(outcomes));
+                assertArrayEquals(new float[0], Stub.next(reports));
+            }
+            assertEquals(0, upstream.ended.size(), "and the connection is used again");
+        }
+    }
+
+    /** Idle connections to others must not keep a request from its own. */
+    @Test
+    void idleConnectionsMakeRoom() throws Exception {
+        try (Stub first = Stub.serving("x"); Stub second = Stub.serving("y")) {
+            Upstreams upstreams = upstreams(first.address(), LONG, 1);
+            send(upstreams);
+            assertEquals(Outcome.OK, Stub.next(outcomes));
+            loop.execute(() -> {
+                upstreams.listed(2, second.address(), 0, true);
+                upstreams.send(2, get("/api/x"), LONG, this::ended);
+            });
+            assertEquals(Outcome.OK, Stub.next(outcomes));
+        }
+    }
+
+    /** Nothing may reach an upstream that is in the list no more, though its address may be another's now. */
+    @Test
+    void goneUpstreamTakesNothing() throws Exception {
+        try (Stub upstream = Stub.serving("x")) {
+            Upstreams upstreams = upstreams(upstream.address(), LONG, 10);
+            loop.execute(() -> upstreams.gone(1));
+            send(upstreams);
+            assertEquals(Outcome.CONNECT_FAILED, Stub.next(outcomes));
+            assertEquals(0, upstream.heads.size());
+        }
+    }
+
+    private static FullHttpRequest get(String path) {
+        return new DefaultFullHttpRequest(HttpVersion.HTTP_1_1, HttpMethod.GET, path);
+    }
+
+    private static String text(Engine.Answer answer) {
+        return answer == null ? "none" : new String(answer.body(), StandardCharsets.ISO_8859_1);
+    }
 }
