Read requests strictly, tell errors at once, and let nobody hold a connection

Change: errors are told at the head, the body is not waited for; after one the connection is half-closed, what comes is dropped (1 s, 1 MiB). A request has 2.5 s to come, an idle connection 3 s; over the cap the one that is missed least makes room. The task is cancelled, the deadline bound by the class. Descriptors: 3/8 clients, 40 kept back, the rest upstreams.

--- a/src/main/java/pondridge/sidecar/Config.java
+++ b/src/main/java/pondridge/sidecar/Config.java
@@ -18,6 +18,7 @@
         Discovery.Listing known, Options options) {
     static final ObjectMapper JSON = new ObjectMapper();
     private static final int FEWEST_SOCKETS = 64;
+    private static final int RESERVED = 40;
 
     static Config read(Path file) throws IOException {
         try {
@@ -46,6 +47,16 @@
                 address(root, "discovery"), seed(root), sockets, known, options);
     }
 
+    /** Of the descriptors: clients may need a third for requests at once, and some are on their way out. */
+    int mostClients() {
+        return sockets * 3 / 8;
+    }
+
+    /** The rest, but for what the JVM, the listening and discovery hold. */
+    int mostUpstream() {
+        return Math.max(sockets / 4, sockets - mostClients() - RESERVED);
+    }
+
     private static InetSocketAddress address(JsonNode root, String key) {
         InetSocketAddress address = parseAddress(root.path(key).asText(""));
         if (address == null) {
--- a/src/main/java/pondridge/sidecar/Engine.java
+++ b/src/main/java/pondridge/sidecar/Engine.java
@@ -8,6 +8,7 @@
 import io.netty.handler.codec.http.HttpHeaders;
 import io.netty.handler.codec.http.HttpMethod;
 import io.netty.handler.codec.http.HttpVersion;
+import io.netty.util.concurrent.Future;
 import java.util.ArrayDeque;
 import java.util.ArrayList;
 import java.util.HashMap;
@@ -33,7 +34,13 @@
 
     /** A request as the frontend took it. */
     record Job(int requestClass, int tenant, long key, long waitMs, long costHint, boolean clientRetry,
-            HttpMethod method, String uri, HttpHeaders headers, byte[] body) { }
+            HttpMethod method, String uri, HttpHeaders headers, byte[] body) {
+        /** The same request, whose body has come. */
+        Job with(byte[] whole) {
+            return new Job(requestClass, tenant, key, waitMs, costHint, clientRetry, method, uri, headers,
+                    whole);
+        }
+    }
 
     /** What an upstream answered. */
     record Answer(HttpHeaders headers, byte[] body) { }
@@ -53,6 +60,7 @@
         private final Client client;
         private long deadline;
         private final List<Upstreams.Attempt> attempts = new ArrayList<>(1);
+        private Future<?> timer;
         private int out;
         private boolean over;
 
@@ -83,7 +91,7 @@
         this.rules = new Rules(settings, config.seed(), this);
         this.tryLimit = settings.allowed().tryLimit();
         this.mostOpen = mostOpen;
-        this.upstreams = new Upstreams(loop, config.options(), config.sockets() / 2);
+        this.upstreams = new Upstreams(loop, config.options(), config.mostUpstream());
         this.discovery = new Discovery(loop, config.discovery(), config.known().rev(), this::listed);
         config.options().list("zones").forEach(zone -> number(zones, zone));
         config.options().list("kinds").forEach(kind -> number(kinds, kind));
@@ -165,7 +173,8 @@
         Call call = new Call(job, client);
         calls.put(id, call);
         // The module answers by its own deadline; this holds for whatever it may have missed.
-        loop.schedule(() -> finish(id, call, client::failed), left + ANSWER_ROOM / 2, TimeUnit.NANOSECONDS);
+        call.timer = loop.schedule(() -> finish(id, call, client::failed), left + ANSWER_ROOM / 2,
+                TimeUnit.NANOSECONDS);
         tell(now -> {
             call.deadline = now + left;
             rules.request(now, new Request(id, job.requestClass(), job.tenant(), job.key(), left,
@@ -191,6 +200,7 @@
     private void finish(long id, Call call, Runnable answer) {
         if (!call.over) {
             call.over = true;
+            call.timer.cancel(false);
             answer.run();
             forget(id, call);
         }
--- a/src/main/java/pondridge/sidecar/Frontend.java
+++ b/src/main/java/pondridge/sidecar/Frontend.java
@@ -1,6 +1,7 @@
 package pondridge.sidecar;
 
 import io.netty.bootstrap.ServerBootstrap;
+import io.netty.buffer.ByteBuf;
 import io.netty.buffer.ByteBufUtil;
 import io.netty.buffer.Unpooled;
 import io.netty.channel.Channel;
@@ -11,34 +12,73 @@
 import io.netty.channel.ChannelOption;
 import io.netty.channel.EventLoopGroup;
 import io.netty.channel.SimpleChannelInboundHandler;
+import io.netty.channel.socket.DuplexChannel;
 import io.netty.channel.socket.nio.NioServerSocketChannel;
+import io.netty.handler.codec.CorruptedFrameException;
+import io.netty.handler.codec.DecoderException;
 import io.netty.handler.codec.http.DefaultFullHttpResponse;
-import io.netty.handler.codec.http.FullHttpRequest;
 import io.netty.handler.codec.http.FullHttpResponse;
+import io.netty.handler.codec.http.HttpContent;
 import io.netty.handler.codec.http.HttpHeaderNames;
 import io.netty.handler.codec.http.HttpHeaderValues;
+import io.netty.handler.codec.http.HttpHeaders;
+import io.netty.handler.codec.http.HttpMessage;
 import io.netty.handler.codec.http.HttpMethod;
-import io.netty.handler.codec.http.HttpObjectAggregator;
+import io.netty.handler.codec.http.HttpObject;
+import io.netty.handler.codec.http.HttpRequest;
+import io.netty.handler.codec.http.HttpRequestDecoder;
+import io.netty.handler.codec.http.HttpResponseEncoder;
 import io.netty.handler.codec.http.HttpResponseStatus;
-import io.netty.handler.codec.http.HttpServerCodec;
 import io.netty.handler.codec.http.HttpUtil;
 import io.netty.handler.codec.http.HttpVersion;
+import io.netty.handler.codec.http.LastHttpContent;
+import io.netty.handler.codec.http.TooLongHttpHeaderException;
+import io.netty.handler.codec.http.TooLongHttpLineException;
+import io.netty.util.ReferenceCountUtil;
+import java.io.ByteArrayOutputStream;
 import java.io.IOException;
 import java.math.BigDecimal;
 import java.math.RoundingMode;
 import java.net.InetSocketAddress;
 import java.nio.charset.StandardCharsets;
 import java.util.ArrayDeque;
+import java.util.HashSet;
 import java.util.LinkedHashSet;
 import java.util.List;
 import java.util.Set;
+import java.util.concurrent.TimeUnit;
 import pondridge.Balancer.RequestClass;
 import pondridge.Balancer.Semantics;
 import pondridge.Options;
 
-/** The application's side: reads requests, answers each once, and tells malformed ones so itself. */
+/**
+ * The application's side: reads requests, answers each once, and tells malformed ones so itself. A client
+ * that sends what can't be used is told at once, and its connection ends; nobody holds one for longer than a
+ * request takes.
+ */
 final class Frontend {
     private static final int LARGEST_BODY = 1 << 16;
+    private static final int LONGEST_ID = 128;
+    private static final String KEY = "Idempotency-Key";
+    /** From the connecting, on a used connection from the request's first byte, to its last one. */
+    private static final long REQUEST_TIME = 2_500_000_000L;
+    /** Clients keep connections; one that is not used for so long is not missed. */
+    private static final long IDLE_TIME = 3_000_000_000L;
+    /** A client that does not take its answer holds memory. */
+    private static final long TAKE_TIME = 5_000_000_000L;
+    /** After an error is told: a close with bytes unread would reset the connection and lose the error. */
+    private static final long LINGER_TIME = 1_000_000_000L;
+    private static final int LINGER_BYTES = 1 << 20;
+    /** A request's id is held to be in use for a while after its answer: clients never use one again. */
+    private static final long ID_TIME = 2_000_000_000L;
+    /** A new connection's request comes at once; one that is silent for longer makes room first. */
+    private static final long SILENT_TIME = 100_000_000;
+    private static final long SWEEP_MS = 100;
+
+    /** Where a connection is. Those before {@link #ASKED} may make room for others, the first one first. */
+    private enum Stage { LINGERING, SILENT, IDLE, NEW, READING, ASKED, ANSWERED }
+
+    private record Past(String id, long at) { }
 
     private final Engine engine;
     private final List<RequestClass> classes;
@@ -46,6 +86,8 @@
     private final List<String> tenantNames;
     private final int mostConnections;
     private final Set<Connection> connections = new LinkedHashSet<>();
+    private final Set<String> ids = new HashSet<>();
+    private final ArrayDeque<Past> past = new ArrayDeque<>();
     private boolean ready;
     private boolean draining;
     private Channel server;
@@ -67,16 +109,18 @@
                 .childHandler(new ChannelInitializer<Channel>() {
                     @Override
                     protected void initChannel(Channel made) {
-                        if (connections.size() >= mostConnections + mostConnections / 8) {
+                        if (connections.size() >= mostConnections && !makeRoom()) {
                             made.close();
                             return;
                         }
-                        made.pipeline().addLast(new HttpServerCodec(), new HttpObjectAggregator(LARGEST_BODY),
-                                new Connection(made));
+                        Connection connection = new Connection(made);
+                        made.pipeline().addLast(new HttpResponseEncoder(), connection.new Decoder(),
+                                connection);
                     }
                 })
                 .bind(address);
         server = bound.channel();
+        server.eventLoop().scheduleWithFixedDelay(this::sweep, SWEEP_MS, SWEEP_MS, TimeUnit.MILLISECONDS);
         return bound;
     }
 
@@ -90,7 +134,11 @@
      */
     void drain() {
         draining = true;
-        closeIdle();
+        for (Connection connection : List.copyOf(connections)) {
+            if (connection.stage == Stage.IDLE || connection.stage == Stage.NEW) {
+                connection.channel.close();
+            }
+        }
     }
 
     /** Ends the listening as well. */
@@ -99,26 +147,49 @@
         drain();
     }
 
-    private void closeIdle() {
-        for (Connection connection : List.copyOf(connections)) {
-            if (!connection.busy) {
-                connection.channel.close();
+    /** Whether no client is connected any more. */
+    boolean empty() {
+        return connections.isEmpty();
+    }
+
+    /** Closes the connection that is missed least; false if each holds a whole request. */
+    private boolean makeRoom() {
+        long now = System.nanoTime();
+        Connection least = null;
+        for (Connection each : connections) {
+            Stage stage = each.spare(now);
+            if (stage.compareTo(Stage.ASKED) < 0 && (least == null || stage.compareTo(least.spare(now)) < 0
+                    || stage == least.spare(now) && each.since < least.since)) {
+                least = each;
             }
         }
+        if (least != null) {
+            least.channel.close();
+        }
+        return least != null;
     }
 
-    /** Whether no client is connected any more. */
-    boolean empty() {
-        return connections.isEmpty();
+    private void sweep() {
+        long now = System.nanoTime();
+        for (Connection connection : List.copyOf(connections)) {
+            connection.checkTime(now);
+        }
+        while (!past.isEmpty() && now - past.peek().at > ID_TIME) {
+            ids.remove(past.poll().id);
+        }
     }
 
-    private final class Connection extends SimpleChannelInboundHandler<FullHttpRequest>
-            implements Engine.Client {
+    private final class Connection extends SimpleChannelInboundHandler<HttpObject> implements Engine.Client {
         private final Channel channel;
-        private final ArrayDeque<FullHttpRequest> waiting = new ArrayDeque<>(1);
-        private final boolean crowded = connections.size() >= mostConnections;
-        private boolean busy;
+        /** What came while a request was open. Such a client is read no further: it is one read's worth. */
+        private final ArrayDeque<HttpObject> waiting = new ArrayDeque<>(1);
+        private Stage stage = Stage.NEW;
+        private long since = System.nanoTime();
+        private int lingered;
+        private Engine.Job job;
+        private ByteArrayOutputStream body;
         private boolean keepAlive;
+        private String id;
         private long request;
 
         Connection(Channel channel) {
@@ -126,54 +197,145 @@
             connections.add(this);
         }
 
-        @Override
-        protected void channelRead0(ChannelHandlerContext context, FullHttpRequest message) {
-            if (!busy) {
-                take(message);
+        /** Tells when the first byte of a request has come, and drops what follows one that was rejected. */
+        private final class Decoder extends HttpRequestDecoder {
+            @Override
+            public void channelRead(ChannelHandlerContext context, Object message) throws Exception {
+                if (stage == Stage.LINGERING) {
+                    lingered += ((ByteBuf) message).readableBytes();
+                    ReferenceCountUtil.release(message);
+                    if (lingered > LINGER_BYTES) {
+                        channel.config().setAutoRead(false);
+                    }
+                    return;
+                }
+                if (stage == Stage.IDLE) {
+                    enter(Stage.READING);
+                } else if (stage == Stage.NEW) {
+                    stage = Stage.READING;
+                }
+                super.channelRead(context, message);
+            }
+
+            /** Left to itself the decoder drops the length, and what one side takes for a body hides more. */
+            @Override
+            protected void handleTransferEncodingChunkedWithContentLength(HttpMessage message) {
+                throw new CorruptedFrameException("two lengths");
+            }
+        }
+
+        private void enter(Stage next) {
+            stage = next;
+            since = System.nanoTime();
+        }
+
+        /** The stage, with a new connection that has been silent for long told from one just made. */
+        private Stage spare(long now) {
+            return stage == Stage.NEW && now - since > SILENT_TIME ? Stage.SILENT : stage;
+        }
+
+        private void checkTime(long now) {
+            long limit = switch (stage) {
+                case LINGERING -> LINGER_TIME;
+                case IDLE -> IDLE_TIME;
+                case ANSWERED -> TAKE_TIME;
+                case ASKED -> Long.MAX_VALUE;
+                default -> REQUEST_TIME;
+            };
+            if (now - since <= limit) {
+                return;
+            }
+            if (stage == Stage.READING) {
+                reject(HttpResponseStatus.REQUEST_TIMEOUT, "no whole request in time");
             } else {
-                // Clients send one request at a time. Who runs ahead is read no further until answered, so
-                // that no more waits here than one read brought.
+                channel.close();
+            }
+        }
+
+        private boolean occupied() {
+            return stage == Stage.ASKED || stage == Stage.ANSWERED;
+        }
+
+        @Override
+        protected void channelRead0(ChannelHandlerContext context, HttpObject message) {
+            if (occupied() || !waiting.isEmpty()) {
                 channel.config().setAutoRead(false);
-                waiting.add(message.retain());
+                waiting.add(ReferenceCountUtil.retain(message));
+            } else {
+                take(message);
             }
         }
 
-        private void take(FullHttpRequest message) {
-            busy = true;
-            request = 0;
-            keepAlive = HttpUtil.isKeepAlive(message);
+        private void take(HttpObject message) {
+            if (stage == Stage.LINGERING || !channel.isActive()) {
+                return;
+            }
             if (message.decoderResult().isFailure()) {
-                keepAlive = false;
-                answer(HttpResponseStatus.BAD_REQUEST, "malformed request");
+                reject(status(message.decoderResult().cause()), "malformed request");
                 return;
             }
-            String path = path(message.uri());
-            if (crowded) {
-                // A bare close would lose what the client has already written.
-                keepAlive = false;
-                refused(0);
-            } else if (path.equals("/up")) {
-                boolean up = ready && !draining;
-                answer(up ? HttpResponseStatus.OK : HttpResponseStatus.SERVICE_UNAVAILABLE, "");
-            } else if (path.equals("/api") || path.startsWith("/api/")) {
-                submit(message, path);
-            } else {
-                answer(HttpResponseStatus.NOT_FOUND, "no such path");
+            if (message instanceof HttpRequest head) {
+                begin(head);
+            }
+            if (message instanceof HttpContent content && stage != Stage.LINGERING) {
+                if (body.size() + content.content().readableBytes() > LARGEST_BODY) {
+                    reject(HttpResponseStatus.REQUEST_ENTITY_TOO_LARGE, "body too large");
+                    return;
+                }
+                body.writeBytes(ByteBufUtil.getBytes(content.content()));
+                if (message instanceof LastHttpContent) {
+                    end();
+                }
             }
         }
 
-        private void submit(FullHttpRequest message, String path) {
-            Engine.Job job;
+        /** Looks at all that a request's head tells, so that the body of a bad one need not come. */
+        private void begin(HttpRequest head) {
+            stage = Stage.READING;
+            keepAlive = HttpUtil.isKeepAlive(head);
+            job = null;
+            body = new ByteArrayOutputStream(0);
+            String path = path(head.uri());
             try {
-                job = job(message, path);
+                framed(head);
+                if (path.equals("/api") || path.startsWith("/api/")) {
+                    job = job(head, path);
+                    id = head.headers().get("Req-Id");
+                } else if (!path.equals("/up")) {
+                    reject(HttpResponseStatus.NOT_FOUND, "no such path");
+                    return;
+                }
             } catch (IllegalArgumentException e) {
-                answer(HttpResponseStatus.BAD_REQUEST, e.getMessage());
+                reject(HttpResponseStatus.BAD_REQUEST, e.getMessage());
+                return;
+            }
+            if (HttpUtil.getContentLength(head, 0L) > LARGEST_BODY) {
+                reject(HttpResponseStatus.REQUEST_ENTITY_TOO_LARGE, "body too large");
+            } else if (HttpUtil.is100ContinueExpected(head)) {
+                channel.writeAndFlush(new DefaultFullHttpResponse(HttpVersion.HTTP_1_1,
+                        HttpResponseStatus.CONTINUE, Unpooled.EMPTY_BUFFER));
+            }
+        }
+
+        /** The request is whole. */
+        private void end() {
+            if (job == null) {
+                boolean up = ready && !draining;
+                answer(plain(up ? HttpResponseStatus.OK : HttpResponseStatus.SERVICE_UNAVAILABLE, ""));
+                return;
+            }
+            if (!ids.add(id)) {
+                reject(HttpResponseStatus.CONFLICT, "Req-Id in use");
                 return;
             }
-            // The answer may come within this call; then the connection may already hold another request.
-            long id = engine.submit(job, this);
-            if (busy && request == 0) {
-                request = id;
+            Engine.Job whole = job.with(body.toByteArray());
+            job = null;
+            body = null;
+            enter(Stage.ASKED);
+            long number = engine.submit(whole, this);
+            // The answer may have come within that call.
+            if (stage == Stage.ASKED) {
+                request = number;
             }
         }
 
@@ -181,7 +343,7 @@
         public void served(Engine.Answer answer) {
             FullHttpResponse response = new DefaultFullHttpResponse(HttpVersion.HTTP_1_1,
                     HttpResponseStatus.OK, Unpooled.wrappedBuffer(answer.body()));
-            Headers.copyEndToEnd(answer.headers(), response.headers());
+            response.headers().set(answer.headers());
             answer(response);
         }
 
@@ -197,14 +359,12 @@
 
         @Override
         public void failed() {
-            answer(HttpResponseStatus.BAD_GATEWAY, "failed");
-        }
-
-        private void answer(HttpResponseStatus status, String text) {
-            answer(plain(status, text));
+            answer(plain(HttpResponseStatus.BAD_GATEWAY, "failed"));
         }
 
         private void answer(FullHttpResponse response) {
+            forget();
+            enter(Stage.ANSWERED);
             boolean keep = keepAlive && !draining;
             HttpUtil.setContentLength(response, response.content().readableBytes());
             if (!keep) {
@@ -215,39 +375,80 @@
                 written.addListener(ChannelFutureListener.CLOSE);
                 return;
             }
-            busy = false;
-            FullHttpRequest next = waiting.poll();
-            if (next != null) {
-                // Not from within this call: a row of malformed requests would nest as deep as it is long.
-                busy = true;
-                channel.eventLoop().execute(() -> {
+            written.addListener(done -> {
+                enter(Stage.IDLE);
+                // Not from within this call: a row of requests would nest as deep as it is long.
+                channel.eventLoop().execute(this::proceed);
+            });
+        }
+
+        /** Goes on with what came meanwhile. */
+        private void proceed() {
+            while (!waiting.isEmpty() && !occupied()) {
+                HttpObject next = waiting.poll();
+                try {
                     take(next);
-                    next.release();
-                });
-            } else if (!channel.config().isAutoRead()) {
+                } finally {
+                    ReferenceCountUtil.release(next);
+                }
+            }
+            if (waiting.isEmpty() && !occupied() && lingered <= LINGER_BYTES) {
                 channel.config().setAutoRead(true);
             }
         }
 
+        /** The request that was open is no more. */
+        private void forget() {
+            if (stage == Stage.ASKED) {
+                past.add(new Past(id, System.nanoTime()));
+            }
+            request = 0;
+        }
+
+        /** Tells an error, sends no more, and for a while reads on what is dropped unseen. */
+        private void reject(HttpResponseStatus status, String text) {
+            enter(Stage.LINGERING);
+            job = null;
+            body = null;
+            waiting.forEach(ReferenceCountUtil::release);
+            waiting.clear();
+            channel.config().setAutoRead(true);
+            FullHttpResponse response = plain(status, text);
+            response.headers().set(HttpHeaderNames.CONNECTION, HttpHeaderValues.CLOSE);
+            HttpUtil.setContentLength(response, response.content().readableBytes());
+            channel.writeAndFlush(response).addListener(done -> ((DuplexChannel) channel).shutdownOutput());
+        }
+
         @Override
         public void channelInactive(ChannelHandlerContext context) {
             connections.remove(this);
-            waiting.forEach(FullHttpRequest::release);
+            long open = request;
+            forget();
+            enter(Stage.LINGERING);
+            waiting.forEach(ReferenceCountUtil::release);
             waiting.clear();
-            if (request != 0) {
-                engine.hangup(request);
+            if (open != 0) {
+                engine.hangup(open);
             }
         }
 
         @Override
         public void exceptionCaught(ChannelHandlerContext context, Throwable cause) {
-            if (!(cause instanceof IOException)) {
+            if (!(cause instanceof IOException || cause instanceof DecoderException)) {
                 System.err.println("frontend: " + cause);
             }
             channel.close();
         }
     }
 
+    private static HttpResponseStatus status(Throwable cause) {
+        if (cause instanceof TooLongHttpHeaderException) {
+            return HttpResponseStatus.REQUEST_HEADER_FIELDS_TOO_LARGE;
+        }
+        return cause instanceof TooLongHttpLineException ? HttpResponseStatus.REQUEST_URI_TOO_LONG
+                : HttpResponseStatus.BAD_REQUEST;
+    }
+
     private static FullHttpResponse plain(HttpResponseStatus status, String text) {
         FullHttpResponse response = new DefaultFullHttpResponse(HttpVersion.HTTP_1_1, status,
                 Unpooled.copiedBuffer(text, StandardCharsets.UTF_8));
@@ -260,8 +461,33 @@
         return query < 0 ? uri : uri.substring(0, query);
     }
 
-    private Engine.Job job(FullHttpRequest message, String path) {
-        header(message, "Req-Id");
+    /** Rejects what two readers could take for requests of different lengths. */
+    private static void framed(HttpRequest message) {
+        HttpHeaders headers = message.headers();
+        boolean coded = headers.contains(HttpHeaderNames.TRANSFER_ENCODING);
+        if (message.protocolVersion().majorVersion() != 1 || coded && !Headers.onlyChunked(message)) {
+            throw new IllegalArgumentException("version or transfer coding not supported");
+        }
+        if (!message.method().equals(HttpMethod.POST)
+                && (coded || HttpUtil.getContentLength(message, 0L) > 0)) {
+            throw new IllegalArgumentException("body where none belongs");
+        }
+        if (!message.uri().chars().allMatch(each -> each > ' ' && each < 0x7f)) {
+            throw new IllegalArgumentException("path can't be read");
+        }
+        for (String name : headers.names()) {
+            boolean once = name.regionMatches(true, 0, "Req-", 0, 4) || name.equalsIgnoreCase(KEY)
+                    || name.equalsIgnoreCase("Host");
+            if (once && headers.getAll(name).size() > 1) {
+                throw new IllegalArgumentException("repeated " + name);
+            }
+        }
+    }
+
+    private Engine.Job job(HttpRequest message, String path) {
+        if (header(message, "Req-Id").length() > LONGEST_ID) {
+            throw new IllegalArgumentException("Req-Id too long");
+        }
         int kind = classNames.indexOf(header(message, "Req-Kind"));
         if (kind < 0) {
             throw new IllegalArgumentException("unknown Req-Kind");
@@ -273,20 +499,22 @@
                 throw new IllegalArgumentException("unknown Req-Owner");
             }
         }
-        boolean keyed = message.headers().contains("Idempotency-Key");
+        String idempotencyKey = message.headers().get(KEY);
         Semantics semantics = classes.get(kind).semantics();
         HttpMethod method = semantics == Semantics.REPEATABLE ? HttpMethod.GET : HttpMethod.POST;
         if (!message.method().equals(method)
-                || (semantics == Semantics.BY_KEY) != keyed) {
+                || (semantics == Semantics.BY_KEY) != (idempotencyKey != null && !idempotencyKey.isEmpty())) {
             throw new IllegalArgumentException("method or Idempotency-Key does not fit the class");
         }
+        // Nobody waits for longer than the class allows, whatever the header says.
+        long wait = Math.min(number(message, "Req-Deadline-Ms"), classes.get(kind).deadline() / 1_000_000);
         long cost = message.headers().contains("Req-Cost") ? number(message, "Req-Cost") * 1000 : 0;
-        return new Engine.Job(kind, tenant, key(path), number(message, "Req-Deadline-Ms"), cost,
+        return new Engine.Job(kind, tenant, key(path), wait, cost,
                 "1".equals(message.headers().get("Req-Retry")), method, message.uri(), message.headers(),
-                ByteBufUtil.getBytes(message.content()));
+                new byte[0]);
     }
 
-    private static String header(FullHttpRequest message, String name) {
+    private static String header(HttpRequest message, String name) {
         String value = message.headers().get(name);
         if (value == null || value.isEmpty()) {
             throw new IllegalArgumentException("missing " + name);
@@ -295,7 +523,7 @@
     }
 
     /** A whole number that is neither negative nor longer than any wait or work can be. */
-    private static long number(FullHttpRequest message, String name) {
+    private static long number(HttpRequest message, String name) {
         String value = header(message, name);
         if (value.length() > 9 || !value.chars().allMatch(digit -> digit >= '0' && digit <= '9')) {
             throw new IllegalArgumentException("not a whole number: " + name);
--- a/src/main/java/pondridge/sidecar/Main.java
+++ b/src/main/java/pondridge/sidecar/Main.java
@@ -92,7 +92,7 @@
     private static void start(MultiThreadIoEventLoopGroup group, EventLoop loop, Config config,
             boolean rehearsal, CompletableFuture<Consumer<Config>> running) {
         Engine engine = new Engine(loop, config, config.sockets() / 2);
-        Frontend frontend = new Frontend(engine, config.options(), config.sockets() * 3 / 8);
+        Frontend frontend = new Frontend(engine, config.options(), config.mostClients());
         engine.start(config.known());
         running.complete(read -> loop.execute(() -> engine.reconfigure(read)));
         ChannelFuture bound = frontend.listen(group, config.listen());
--- a/src/main/java/pondridge/sidecar/WarmUp.java
+++ b/src/main/java/pondridge/sidecar/WarmUp.java
@@ -45,14 +45,14 @@
         new WarmUp(self, done).ask(ROUNDS);
     }
 
-    /** The frontend knows no such request and answers 400: the way there and back is the same. */
+    /** The frontend is not ready and answers 503: the way there and back is the same. */
     private void ask(int left) {
         if (left == 0 || System.nanoTime() - began > LONGEST) {
             self.close();
             done.run();
             return;
         }
-        FullHttpRequest request = new DefaultFullHttpRequest(HttpVersion.HTTP_1_1, HttpMethod.GET, "/api/");
+        FullHttpRequest request = new DefaultFullHttpRequest(HttpVersion.HTTP_1_1, HttpMethod.GET, "/up");
         self.send(0, request, PATIENCE, (outcome, answer, load) ->
                 ask(outcome == Outcome.ERROR ? left - 1 : 0));
     }
