--- a/src/main/java/pondridge/Rules.java
+++ b/src/main/java/pondridge/Rules.java
@@ -690,7 +690,7 @@
         /** Part of the aim: what takes longer leaves no time for a second try with its own delays. */
         private static final double LATE = 0.4;
         /** Enough that a jam of later tries does not unseat the first ones at once. */
-        private static final int MANY_VOTES = 1000;
+        private static final int MANY_VOTES = 100;
         /** Four in five in time is sound enough: the rest is chance and single faults. */
         private static final double ENOUGH = 1.25;
         private final Share[] shares = new Share[Math.max(1, settings.tenants().size())];
@@ -713,13 +713,13 @@
         /**
          * Time the client has spent on earlier tries. A first try has a fixed part of the deadline left, the
          * same each time; a last one has what remains of the whole. The commonest value marks the first tries
-         * (it loses its place once two of three differ) and any other tells the time spent.
+         * (it loses its place once half of them differ) and any other tells the time spent.
          */
         long elapsed(Request request) {
             int kind = request.requestClass();
             long left = request.timeLeft();
             if (Math.abs(left - firstLeft[kind]) <= 2 * settings.quantum()) {
-                firstVotes[kind] = Math.min(firstVotes[kind] + 2, MANY_VOTES);
+                firstVotes[kind] = Math.min(firstVotes[kind] + 1, MANY_VOTES);
                 return 0;
             }
             if (--firstVotes[kind] < 0) {
--- a/src/test/java/pondridge/RulesTest.java
+++ b/src/test/java/pondridge/RulesTest.java
@@ -496,6 +496,38 @@
         assertEquals(5, host.sends.get(out).request());
     }
 
+    /**
+     * First tries taken for later ones are refused at once, and two of three come again with one wait. That
+     * must not keep them from their place: what comes again is never more than what came first.
+     */
+    @Test
+    void firstTriesFindTheirPlaceAgainAmongLaterOnes() {
+        Recorder host = host(REPEATABLE).withUpstreams(5);
+        long id = 0;
+        for (int i = 0; i < 10; i++) {
+            tried(host, id++, 950 * MS);
+        }
+        boolean served = false;
+        for (int i = 0; i < 300; i++) {
+            served = tried(host, id++, 450 * MS);
+            if (!served && i % 3 > 0) {
+                tried(host, id++, 950 * MS);
+            }
+        }
+        assertTrue(served);
+    }
+
+    /** Asks once, answers after a moment if it was sent, and tells whether it was. */
+    private static boolean tried(Recorder host, long id, long left) {
+        host.request(id, 0, left);
+        boolean sent = !host.sendsOf(id).isEmpty();
+        host.advance(MS);
+        if (sent) {
+            host.outcome(host.last(), Outcome.OK);
+        }
+        return sent;
+    }
+
     @Test
     void hopelessLaterTriesAreAnsweredAtOnceUnderPressure() {
         Recorder host = host(ONCE).withUpstreams(1);
