--- a/src/main/java/pondridge/sidecar/WarmUp.java
+++ b/src/main/java/pondridge/sidecar/WarmUp.java
@@ -22,7 +22,7 @@
  * frontend, and an instance of the module that nobody hears decides for requests that do not exist.
  */
 final class WarmUp {
-    private static final int ROUNDS = 150;
+    private static final int ROUNDS = 600;
     private static final long PATIENCE = 1_000_000_000;
     /** On a crowded core a cold sidecar is better than a late one. */
     private static final long LONGEST = 3_000_000_000L;
