Open a seam between the engine and the ways to upstreams

Need: Engine knew Upstreams, Discovery and Config, so there was no place for a second protocol. Change: Transport (one attempt, one outcome with its proof), Client, Directory, Job, Answer and Target are types of their own; Engine is given a Transport and a Directory. Reading load reports is a class that every protocol can use. The HTTP/1.1 message is made in Upstreams now. No behaviour is changed.

--- /dev/null
+++ b/src/main/java/pondridge/sidecar/Client.java
@@ -0,0 +1,16 @@
+package pondridge.sidecar;
+
+/**
+ * The way back: takes a request's one final answer. Exactly one of the methods is called, once, on the event
+ * loop, perhaps within {@link Engine#submit}; none after {@link Engine#hangup}.
+ */
+public interface Client {
+    /** Served by an upstream. */
+    void served(Answer answer);
+
+    /** Refused: trying again is harmless, best after {@code wait} nanoseconds where that is not 0. */
+    void refused(long wait);
+
+    /** Failed, with no promise about effects. */
+    void failed();
+}
--- a/src/main/java/pondridge/sidecar/Config.java
+++ b/src/main/java/pondridge/sidecar/Config.java
@@ -2,7 +2,6 @@
 
 import com.fasterxml.jackson.core.JsonProcessingException;
 import com.fasterxml.jackson.databind.JsonNode;
-import com.fasterxml.jackson.databind.ObjectMapper;
 import io.netty.util.NetUtil;
 import java.io.IOException;
 import java.net.InetAddress;
@@ -16,13 +15,12 @@
 /** What one sidecar is told at its start; a mistake is an exception whose message names the key. */
 record Config(String name, InetSocketAddress listen, InetSocketAddress discovery, long seed, int sockets,
         Discovery.Listing known, Options options) {
-    static final ObjectMapper JSON = new ObjectMapper();
     private static final int FEWEST_SOCKETS = 64;
     private static final int RESERVED = 40;
 
     static Config read(Path file) throws IOException {
         try {
-            return of(JSON.readTree(Files.readAllBytes(file)));
+            return of(Json.MAPPER.readTree(Files.readAllBytes(file)));
         } catch (JsonProcessingException e) {
             throw new IllegalArgumentException("not JSON: " + e.getOriginalMessage(), e);
         }
--- a/src/main/java/pondridge/sidecar/Discovery.java
+++ b/src/main/java/pondridge/sidecar/Discovery.java
@@ -35,34 +35,29 @@
 import pondridge.Balancer.State;
 
 /** Asks discovery for the list: a watch on its changes, or the whole once. The module decides when. */
-final class Discovery {
+final class Discovery implements Directory {
     /** A call waits for up to 2 s and empty lines come every 2 s: longer silence is a break. */
     private static final long SILENCE_MS = 5_000;
     private static final int CONNECT_TIMEOUT_MS = 1_000;
     private static final int LONGEST_LINE = 4 << 20;
 
-    /** One line of the list; names are still discovery's. */
-    record Target(String uid, InetSocketAddress endpoint, String zone, String kind, int cell, State state,
-            float weight, long startedMs) {
-
-        /** An entry, or null where it can't be understood. */
-        private static Target of(JsonNode node) {
-            String uid = node.path("uid").asText("");
-            State state = switch (node.path("state").asText()) {
-                case "SERVING" -> State.READY;
-                case "DRAINING" -> State.DRAINING;
-                case "DELETED" -> State.GONE;
-                default -> null;
-            };
-            InetSocketAddress endpoint = Config.parseAddress(node.path("endpoint").asText(""));
-            if (uid.isEmpty() || state == null || endpoint == null && state != State.GONE) {
-                System.err.println("discovery: entry passed over: " + node);
-                return null;
-            }
-            return new Target(uid, endpoint, node.path("az").asText(""), node.path("model").asText(""),
-                    node.path("pod_group").asInt(), state, (float) node.path("capacity_hint").asDouble(1),
-                    node.path("boot_ms").asLong());
+    /** An entry, or null where it can't be understood. */
+    private static Target target(JsonNode node) {
+        String uid = node.path("uid").asText("");
+        State state = switch (node.path("state").asText()) {
+            case "SERVING" -> State.READY;
+            case "DRAINING" -> State.DRAINING;
+            case "DELETED" -> State.GONE;
+            default -> null;
+        };
+        InetSocketAddress endpoint = Config.parseAddress(node.path("endpoint").asText(""));
+        if (uid.isEmpty() || state == null || endpoint == null && state != State.GONE) {
+            System.err.println("discovery: entry passed over: " + node);
+            return null;
         }
+        return new Target(uid, endpoint, node.path("az").asText(""), node.path("model").asText(""),
+                node.path("pod_group").asInt(), state, (float) node.path("capacity_hint").asDouble(1),
+                node.path("boot_ms").asLong());
     }
 
     /** A list or a change of it. */
@@ -72,7 +67,7 @@
         static Listing of(JsonNode node) {
             List<Target> targets = new ArrayList<>();
             for (JsonNode each : node.path("targets")) {
-                Target target = Target.of(each);
+                Target target = target(each);
                 if (target != null) {
                     targets.add(target);
                 }
@@ -100,7 +95,8 @@
     }
 
     /** Follows changes from the last one known; a watch that is asked for again replaces the old one. */
-    void watch(boolean on) {
+    @Override
+    public void watch(boolean on) {
         wanted = on;
         if (watch != null) {
             watch.close();
@@ -135,8 +131,8 @@
         }
     }
 
-    /** Asks for the whole list once. */
-    void fetch() {
+    @Override
+    public void fetch() {
         new Call(false).open();
     }
 
@@ -254,7 +250,7 @@
         }
 
         private void take() throws IOException {
-            JsonNode node = Config.JSON.readTree(line.toByteArray());
+            JsonNode node = Json.MAPPER.readTree(line.toByteArray());
             line.reset();
             if (!node.path("rev").isIntegralNumber() || !node.path("targets").isArray()) {
                 fail();
--- a/src/main/java/pondridge/sidecar/Engine.java
+++ b/src/main/java/pondridge/sidecar/Engine.java
@@ -1,13 +1,7 @@
 package pondridge.sidecar;
 
-import io.netty.buffer.Unpooled;
 import io.netty.channel.EventLoop;
-import io.netty.handler.codec.http.DefaultFullHttpRequest;
-import io.netty.handler.codec.http.FullHttpRequest;
-import io.netty.handler.codec.http.HttpHeaderNames;
-import io.netty.handler.codec.http.HttpHeaders;
 import io.netty.handler.codec.http.HttpMethod;
-import io.netty.handler.codec.http.HttpVersion;
 import io.netty.util.concurrent.Future;
 import java.util.ArrayDeque;
 import java.util.ArrayList;
@@ -22,6 +16,7 @@
 import pondridge.Balancer.Request;
 import pondridge.Balancer.State;
 import pondridge.Balancer.Upstream;
+import pondridge.Options;
 import pondridge.Rules;
 
 /**
@@ -32,34 +27,11 @@
     /** What of a client's wait is kept for the answer's way back; the module does not know of it. */
     private static final long ANSWER_ROOM = 10_000_000;
 
-    /** A request as the frontend took it. */
-    record Job(int requestClass, int tenant, long key, long waitMs, long costHint, boolean clientRetry,
-            HttpMethod method, String uri, HttpHeaders headers, byte[] body) {
-        /** The same request, whose body has come. */
-        Job with(byte[] whole) {
-            return new Job(requestClass, tenant, key, waitMs, costHint, clientRetry, method, uri, headers,
-                    whole);
-        }
-    }
-
-    /** What an upstream answered. */
-    record Answer(HttpHeaders headers, byte[] body) { }
-
-    /** Takes a request's one final answer. */
-    interface Client {
-        void served(Answer answer);
-
-        /** Refused: trying again is harmless, best after {@code wait} nanoseconds where that is not 0. */
-        void refused(long wait);
-
-        void failed();
-    }
-
     private static final class Call {
         private final Job job;
         private final Client client;
         private long deadline;
-        private final List<Upstreams.Attempt> attempts = new ArrayList<>(1);
+        private final List<Transport.Attempt> attempts = new ArrayList<>(1);
         private Future<?> timer;
         private int out;
         private boolean over;
@@ -74,38 +46,40 @@
     private final Balancer rules;
     private final int tryLimit;
     private final int mostOpen;
-    private final Upstreams upstreams;
-    private final Discovery discovery;
+    private final Transport transport;
     private final Map<Long, Call> calls = new HashMap<>();
     private final Map<String, Long> upstreamIds = new HashMap<>();
     private final Map<String, Integer> zones = new HashMap<>();
     private final Map<String, Integer> kinds = new HashMap<>();
     private final ArrayDeque<LongConsumer> events = new ArrayDeque<>();
     private final long clockOffset = System.currentTimeMillis() * 1_000_000 - System.nanoTime();
+    private Directory directory;
     private boolean telling;
     private long lastId;
 
-    Engine(EventLoop loop, Config config, int mostOpen) {
-        Balancer.Settings settings = config.options().settings();
+    /**
+     * An engine with a decision module of its own.
+     *
+     * @param seed for the module's random numbers
+     * @param mostOpen how many requests may be open; what comes beyond that is refused
+     * @param transport the way to all upstreams
+     */
+    Engine(EventLoop loop, Options options, long seed, int mostOpen, Transport transport) {
+        Balancer.Settings settings = options.settings();
         this.loop = loop;
-        this.rules = new Rules(settings, config.seed(), this);
+        this.rules = new Rules(settings, seed, this);
         this.tryLimit = settings.allowed().tryLimit();
         this.mostOpen = mostOpen;
-        this.upstreams = new Upstreams(loop, config.options(), config.mostUpstream());
-        this.discovery = new Discovery(loop, config.discovery(), config.known().rev(), this::listed);
-        config.options().list("zones").forEach(zone -> number(zones, zone));
-        config.options().list("kinds").forEach(kind -> number(kinds, kind));
+        this.transport = transport;
+        options.list("zones").forEach(zone -> number(zones, zone));
+        options.list("kinds").forEach(kind -> number(kinds, kind));
     }
 
     /** Begins with the cached list; on the loop, like all that follows. */
-    void start(Discovery.Listing known) {
+    void start(Directory source, List<Target> known) {
+        directory = source;
         tell(rules::start);
-        listed(ListKind.CACHED, known.targets());
-    }
-
-    /** Takes a new configuration over: where discovery is. All else stays as it was at the start. */
-    void reconfigure(Config config) {
-        discovery.move(config.discovery());
+        listed(ListKind.CACHED, known);
     }
 
     /** Nanoseconds since 1970 that never run back, so that start times in the list can be compared. */
@@ -137,10 +111,11 @@
         return numbers.computeIfAbsent(name, added -> numbers.size());
     }
 
-    private void listed(ListKind kind, List<Discovery.Target> targets) {
+    /** News of the list, or that asking for it failed. */
+    void listed(ListKind kind, List<Target> targets) {
         List<Upstream> entries = new ArrayList<>(targets.size());
-        Map<Long, Discovery.Target> named = new HashMap<>();
-        for (Discovery.Target target : targets) {
+        Map<Long, Target> named = new HashMap<>();
+        for (Target target : targets) {
             long id = upstreamIds.computeIfAbsent(target.uid(), uid -> upstreamIds.size() + 1L);
             named.put(id, target);
             entries.add(new Upstream(id, number(zones, target.zone()), number(kinds, target.kind()),
@@ -149,14 +124,14 @@
         tell(now -> {
             named.forEach((id, target) -> {
                 if (target.state() == State.GONE) {
-                    upstreams.gone(id);
+                    transport.gone(id);
                 } else {
-                    upstreams.listed(id, target.endpoint(), target.startedMs(),
+                    transport.listed(id, target.endpoint(), target.startedMs(),
                             target.state() == State.READY);
                 }
             });
             if (kind == ListKind.FULL) {
-                upstreamIds.values().stream().filter(id -> !named.containsKey(id)).forEach(upstreams::gone);
+                upstreamIds.values().stream().filter(id -> !named.containsKey(id)).forEach(transport::gone);
             }
             rules.listChanged(now, kind, entries);
         });
@@ -231,22 +206,11 @@
             wait = Math.min(wait, timeout);
         }
         call.attempts.add(null);
-        call.attempts.set(number, upstreams.send(upstream, message(call.job, wait), wait,
+        call.attempts.set(number, transport.send(upstream, call.job, wait,
                 (outcome, answer, load) ->
                         ended(request, call, number, upstream, now, outcome, answer, load)));
     }
 
-    private static FullHttpRequest message(Job job, long wait) {
-        FullHttpRequest request = new DefaultFullHttpRequest(HttpVersion.HTTP_1_1, job.method(), job.uri(),
-                Unpooled.wrappedBuffer(job.body()));
-        Headers.copyEndToEnd(job.headers(), request.headers());
-        request.headers().set("Req-Deadline-Ms", Math.max(1, wait / 1_000_000));
-        if (!job.method().equals(HttpMethod.GET) || job.body().length > 0) {
-            request.headers().set(HttpHeaderNames.CONTENT_LENGTH, job.body().length);
-        }
-        return request;
-    }
-
     private void ended(long id, Call call, int number, long upstream, long sentAt, Outcome outcome,
             Answer answer, float[] load) {
         tell(now -> {
@@ -292,13 +256,13 @@
     @Override
     public void probe(long upstream) {
         long sentAt = now();
-        upstreams.probe(upstream, (outcome, answer, load) -> tell(now ->
+        transport.probe(upstream, (outcome, answer, load) -> tell(now ->
                 rules.probeResult(now, upstream, outcome, now - sentAt, load)));
     }
 
     @Override
     public void closeIdle(long upstream) {
-        upstreams.closeIdle(upstream);
+        transport.closeIdle(upstream);
     }
 
     /** Sidecars of this kind share nothing; the module does not use peers. */
@@ -314,11 +278,11 @@
 
     @Override
     public void subscribe(boolean on) {
-        discovery.watch(on);
+        directory.watch(on);
     }
 
     @Override
     public void fetchList() {
-        discovery.fetch();
+        directory.fetch();
     }
 }
--- a/src/main/java/pondridge/sidecar/Frontend.java
+++ b/src/main/java/pondridge/sidecar/Frontend.java
@@ -179,14 +179,14 @@
         }
     }
 
-    private final class Connection extends SimpleChannelInboundHandler<HttpObject> implements Engine.Client {
+    private final class Connection extends SimpleChannelInboundHandler<HttpObject> implements Client {
         private final Channel channel;
         /** What came while a request was open. Such a client is read no further: it is one read's worth. */
         private final ArrayDeque<HttpObject> waiting = new ArrayDeque<>(1);
         private Stage stage = Stage.NEW;
         private long since = System.nanoTime();
         private int lingered;
-        private Engine.Job job;
+        private Job job;
         private ByteArrayOutputStream body;
         private boolean keepAlive;
         private String id;
@@ -328,7 +328,7 @@
                 reject(HttpResponseStatus.CONFLICT, "Req-Id in use");
                 return;
             }
-            Engine.Job whole = job.with(body.toByteArray());
+            Job whole = job.with(body.toByteArray());
             job = null;
             body = null;
             enter(Stage.ASKED);
@@ -340,7 +340,7 @@
         }
 
         @Override
-        public void served(Engine.Answer answer) {
+        public void served(Answer answer) {
             FullHttpResponse response = new DefaultFullHttpResponse(HttpVersion.HTTP_1_1,
                     HttpResponseStatus.OK, Unpooled.wrappedBuffer(answer.body()));
             response.headers().set(answer.headers());
@@ -484,7 +484,7 @@
         }
     }
 
-    private Engine.Job job(HttpRequest message, String path) {
+    private Job job(HttpRequest message, String path) {
         if (header(message, "Req-Id").length() > LONGEST_ID) {
             throw new IllegalArgumentException("Req-Id too long");
         }
@@ -509,7 +509,7 @@
         // Nobody waits for longer than the class allows, whatever the header says.
         long wait = Math.min(number(message, "Req-Deadline-Ms"), classes.get(kind).deadline() / 1_000_000);
         long cost = message.headers().contains("Req-Cost") ? number(message, "Req-Cost") * 1000 : 0;
-        return new Engine.Job(kind, tenant, key(path), wait, cost,
+        return new Job(kind, tenant, key(path), wait, cost,
                 "1".equals(message.headers().get("Req-Retry")), method, message.uri(), message.headers(),
                 new byte[0]);
     }
--- a/src/main/java/pondridge/sidecar/Main.java
+++ b/src/main/java/pondridge/sidecar/Main.java
@@ -91,10 +91,13 @@
 
     private static void start(MultiThreadIoEventLoopGroup group, EventLoop loop, Config config,
             boolean rehearsal, CompletableFuture<Consumer<Config>> running) {
-        Engine engine = new Engine(loop, config, config.sockets() / 2);
+        Upstreams upstreams = new Upstreams(loop, config.options(), config.mostUpstream());
+        Engine engine = new Engine(loop, config.options(), config.seed(), config.sockets() / 2, upstreams);
+        Discovery discovery = new Discovery(loop, config.discovery(), config.known().rev(), engine::listed);
         Frontend frontend = new Frontend(engine, config.options(), config.mostClients());
-        engine.start(config.known());
-        running.complete(read -> loop.execute(() -> engine.reconfigure(read)));
+        engine.start(discovery, config.known().targets());
+        // Only where discovery is; all else stays as it was at the start.
+        running.complete(read -> loop.execute(() -> discovery.move(read.discovery())));
         ChannelFuture bound = frontend.listen(group, config.listen());
         bound.addListener(done -> {
             if (done.isSuccess()) {
--- a/src/main/java/pondridge/sidecar/Upstreams.java
+++ b/src/main/java/pondridge/sidecar/Upstreams.java
@@ -1,10 +1,9 @@
 package pondridge.sidecar;
 
-import com.fasterxml.jackson.core.JsonProcessingException;
-import com.fasterxml.jackson.databind.JsonNode;
 import io.netty.bootstrap.Bootstrap;
 import io.netty.buffer.ByteBuf;
 import io.netty.buffer.ByteBufUtil;
+import io.netty.buffer.Unpooled;
 import io.netty.channel.Channel;
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.ChannelInitializer;
@@ -50,25 +49,18 @@
  * Connections to upstreams and the attempts on them. An attempt is written once, on one connection, and ends
  * with one outcome; nothing is sent again from here.
  */
-final class Upstreams {
+final class Upstreams implements Transport {
     /** Good answers of 350 KB have been seen, beyond the protocol's 64 KiB; a bound keeps the memory free. */
     private static final int LARGEST_ANSWER = 1 << 20;
     /** Some answers come behind interim ones; more than a few are no way to an answer. */
     private static final int MOST_INTERIM = 16;
     private static final long PROBE_TIMEOUT = 250_000_000;
-    private static final String LOAD_PATH = "/metrics/load";
-    private static final float[] NO_REPORT = {};
-
-    /** How an attempt ended; {@code answer} is there for {@link Outcome#OK} alone. */
-    interface Listener {
-        void ended(Outcome outcome, Engine.Answer answer, float[] load);
-    }
 
     private final EventLoop loop;
     private final int connectTimeoutMs;
     private final long keepIdle;
     private final int mostConnections;
-    private final List<String> reportFields;
+    private final LoadReports reports;
     private final Map<Long, Pool> pools = new HashMap<>();
     /** Stands for every upstream that is not listed. */
     private final Pool nobody = new Pool();
@@ -81,7 +73,7 @@
         // An upstream closes at its idle time; a tenth before it, no request can cross that on its way.
         this.keepIdle = (long) (options.number("caps.connIdle", 5e9) * 0.9);
         this.mostConnections = mostConnections;
-        this.reportFields = options.list("report.fields");
+        this.reports = new LoadReports(options);
         long sweep = Math.max(1, keepIdle / 20);
         retirement = loop.scheduleWithFixedDelay(this::retire, sweep, sweep, TimeUnit.NANOSECONDS);
     }
@@ -92,7 +84,8 @@
      * a process that has started anew since: a machine that vanished has not ended them, and what is written
      * to them would count as perhaps run.
      */
-    void listed(long upstream, InetSocketAddress address, long startedMs, boolean ready) {
+    @Override
+    public void listed(long upstream, InetSocketAddress address, long startedMs, boolean ready) {
         Pool pool = pools.computeIfAbsent(upstream, id -> new Pool());
         if (!address.equals(pool.address) || startedMs > pool.startedMs) {
             pool.address = address;
@@ -106,18 +99,33 @@
         }
     }
 
-    /** Takes over that an upstream is in the list no more: what is still out there ends by itself. */
-    void gone(long upstream) {
+    @Override
+    public void gone(long upstream) {
         Pool pool = pools.remove(upstream);
         if (pool != null) {
             pool.shut();
         }
     }
 
-    /** Sends a request as one attempt; {@code wait} in nanoseconds bounds it. */
-    Attempt send(long upstream, FullHttpRequest request, long wait, Listener listener) {
+    @Override
+    public Attempt send(long upstream, Job job, long wait, Listener listener) {
+        return send(upstream, message(job, wait), wait, listener);
+    }
+
+    private static FullHttpRequest message(Job job, long wait) {
+        FullHttpRequest request = new DefaultFullHttpRequest(HttpVersion.HTTP_1_1, job.method(), job.uri(),
+                Unpooled.wrappedBuffer(job.body()));
+        Headers.copyEndToEnd(job.headers(), request.headers());
+        request.headers().set("Req-Deadline-Ms", Math.max(1, wait / 1_000_000));
+        if (!job.method().equals(HttpMethod.GET) || job.body().length > 0) {
+            request.headers().set(HttpHeaderNames.CONTENT_LENGTH, job.body().length);
+        }
+        return request;
+    }
+
+    private Sending send(long upstream, FullHttpRequest request, long wait, Listener listener) {
         Pool pool = pools.getOrDefault(upstream, nobody);
-        Attempt attempt = new Attempt(pool, request, listener);
+        Sending attempt = new Sending(pool, request, listener);
         attempt.timer = loop.schedule(attempt::late, wait, TimeUnit.NANOSECONDS);
         pool.unwritten.add(attempt);
         Connection idle = pool.ready ? pool.take() : null;
@@ -133,16 +141,16 @@
         return attempt;
     }
 
-    /** Probes an upstream: for its load report where the deployment has reports, else for its health. */
-    void probe(long upstream, Listener listener) {
-        String path = reportFields.isEmpty() ? "/alive" : LOAD_PATH;
-        FullHttpRequest request = new DefaultFullHttpRequest(HttpVersion.HTTP_1_1, HttpMethod.GET, path);
+    @Override
+    public void probe(long upstream, Listener listener) {
+        FullHttpRequest request = new DefaultFullHttpRequest(HttpVersion.HTTP_1_1, HttpMethod.GET,
+                reports.probePath());
         request.headers().set(HttpHeaderNames.HOST, "app.svc");
         send(upstream, request, PROBE_TIMEOUT, listener);
     }
 
-    /** Closes the idle connections to an upstream. */
-    void closeIdle(long upstream) {
+    @Override
+    public void closeIdle(long upstream) {
         Pool pool = pools.get(upstream);
         if (pool != null) {
             pool.closeIdle();
@@ -182,7 +190,7 @@
     /** One upstream's connections; the least lately used idle one comes first. */
     private static final class Pool {
         private final ArrayDeque<Connection> idle = new ArrayDeque<>();
-        private final Set<Attempt> unwritten = new LinkedHashSet<>();
+        private final Set<Sending> unwritten = new LinkedHashSet<>();
         private InetSocketAddress address;
         private long startedMs;
         private boolean ready;
@@ -201,7 +209,7 @@
         void shut() {
             ready = false;
             closeIdle();
-            for (Attempt attempt : List.copyOf(unwritten)) {
+            for (Sending attempt : List.copyOf(unwritten)) {
                 attempt.end(Outcome.CONNECT_FAILED);
             }
         }
@@ -214,7 +222,7 @@
     }
 
     /** One sending of a request. Until its last byte is written it has never run; after that it may have. */
-    final class Attempt {
+    private final class Sending implements Attempt {
         private final Pool pool;
         private final FullHttpRequest request;
         private final Listener listener;
@@ -223,14 +231,15 @@
         private boolean written;
         private boolean over;
 
-        private Attempt(Pool pool, FullHttpRequest request, Listener listener) {
+        Sending(Pool pool, FullHttpRequest request, Listener listener) {
             this.pool = pool;
             this.request = request;
             this.listener = listener;
         }
 
-        /** Gives the attempt up and closes its connection. */
-        void cancel() {
+        /** Closes its connection as well. */
+        @Override
+        public void cancel() {
             end(Outcome.CANCELLED);
         }
 
@@ -248,11 +257,11 @@
                 if (connection != null) {
                     connection.close();
                 }
-                end(outcome, null, NO_REPORT);
+                end(outcome, null, LoadReports.NONE);
             }
         }
 
-        private void end(Outcome outcome, Engine.Answer answer, float[] load) {
+        private void end(Outcome outcome, Answer answer, float[] load) {
             over = true;
             timer.cancel(false);
             pool.unwritten.remove(this);
@@ -321,7 +330,7 @@
         private final Pool pool;
         private final Decoder decoder = new Decoder();
         private Channel channel;
-        private Attempt current;
+        private Sending current;
         private long idleSince;
         private HttpResponse head;
         private HttpHeaders headers;
@@ -334,7 +343,7 @@
             this.pool = pool;
         }
 
-        void open(Attempt first) {
+        void open(Sending first) {
             current = first;
             first.connection = this;
             new Bootstrap().group(loop).channel(NioSocketChannel.class)
@@ -364,7 +373,7 @@
                     });
         }
 
-        void write(Attempt attempt) {
+        void write(Sending attempt) {
             current = attempt;
             attempt.connection = this;
             interim = 0;
@@ -438,13 +447,14 @@
             if (!whole) {
                 return;
             }
-            Attempt attempt = current;
+            Sending attempt = current;
             HttpResponse response = head;
             Outcome outcome = attempt.written || response.status().code() != 200 ? outcome(response)
                     : Outcome.ERROR;
-            float[] load = load(response, attempt.request.uri().equals(LOAD_PATH)
-                    ? body.toString(StandardCharsets.UTF_8) : null);
-            Engine.Answer answer = outcome == Outcome.OK ? new Engine.Answer(headers, body.toByteArray())
+            ByteArrayOutputStream came = body;
+            float[] load = reports.read(response.headers().get(LoadReports.HEADER), attempt.request.uri(),
+                    () -> came.toString(StandardCharsets.UTF_8));
+            Answer answer = outcome == Outcome.OK ? new Answer(headers, body.toByteArray())
                     : null;
             boolean reusable = HttpUtil.isKeepAlive(response) && attempt.written && pool.ready && !soiled
                     && !decoder.holds() && channel.isActive();
@@ -507,32 +517,4 @@
             default -> Outcome.ERROR;
         };
     }
-
-    /** The load report in the order of the settings' fields; empty where there is none that can be read. */
-    private float[] load(HttpResponse response, String probed) {
-        String text = response.headers().get("Srv-Load");
-        if (text == null) {
-            text = probed;
-        }
-        if (text == null || reportFields.isEmpty()) {
-            return NO_REPORT;
-        }
-        try {
-            JsonNode node = Config.JSON.readTree(text);
-            float[] values = new float[reportFields.size()];
-            for (int i = 0; i < values.length; i++) {
-                JsonNode value = node.path(reportFields.get(i));
-                if (!value.isNumber()) {
-                    return NO_REPORT;
-                }
-                values[i] = value.floatValue();
-                if (!(values[i] >= 0 && values[i] < Float.POSITIVE_INFINITY)) {
-                    return NO_REPORT;
-                }
-            }
-            return values;
-        } catch (JsonProcessingException e) {
-            return NO_REPORT;
-        }
-    }
 }
--- a/src/main/java/pondridge/sidecar/WarmUp.java
+++ b/src/main/java/pondridge/sidecar/WarmUp.java
@@ -1,10 +1,8 @@
 package pondridge.sidecar;
 
 import io.netty.channel.EventLoop;
-import io.netty.handler.codec.http.DefaultFullHttpRequest;
-import io.netty.handler.codec.http.FullHttpRequest;
+import io.netty.handler.codec.http.DefaultHttpHeaders;
 import io.netty.handler.codec.http.HttpMethod;
-import io.netty.handler.codec.http.HttpVersion;
 import java.net.InetSocketAddress;
 import java.util.List;
 import pondridge.Balancer;
@@ -27,6 +25,8 @@
     /** On a crowded core a cold sidecar is better than a late one. */
     private static final long LONGEST = 3_000_000_000L;
     private static final long STEP = 10_000_000;
+    private static final Job UP = new Job(0, 0, 0, 0, 0, false, HttpMethod.GET, "/up",
+            new DefaultHttpHeaders(), new byte[0]);
 
     private final Upstreams self;
     private final Runnable done;
@@ -52,8 +52,7 @@
             done.run();
             return;
         }
-        FullHttpRequest request = new DefaultFullHttpRequest(HttpVersion.HTTP_1_1, HttpMethod.GET, "/up");
-        self.send(0, request, PATIENCE, (outcome, answer, load) ->
+        self.send(0, UP, PATIENCE, (outcome, answer, load) ->
                 ask(outcome == Outcome.ERROR ? left - 1 : 0));
     }
 
--- a/src/test/java/pondridge/sidecar/Bed.java
+++ b/src/test/java/pondridge/sidecar/Bed.java
@@ -23,6 +23,7 @@
     final EventLoop loop = group.next();
     final Frontend frontend;
     final Engine engine;
+    final Discovery discovery;
     final InetSocketAddress address;
 
     /** An answer as the client saw it. */
@@ -30,9 +31,11 @@
 
     Bed(ObjectNode json) throws Exception {
         Config config = Config.of(json);
-        engine = new Engine(loop, config, MOST);
+        engine = new Engine(loop, config.options(), config.seed(), MOST,
+                new Upstreams(loop, config.options(), config.mostUpstream()));
+        discovery = new Discovery(loop, config.discovery(), config.known().rev(), engine::listed);
         frontend = new Frontend(engine, config.options(), MOST);
-        loop.submit(() -> engine.start(config.known())).sync();
+        loop.submit(() -> engine.start(discovery, config.known().targets())).sync();
         address = (InetSocketAddress) frontend.listen(group, config.listen()).sync().channel().localAddress();
     }
 
@@ -42,7 +45,7 @@
 
     /** A configuration with classes look (safe), hold (keyed) and book (unsafe), and one tenant. */
     static ObjectNode json(Stub... upstreams) throws IOException {
-        ObjectNode root = (ObjectNode) Config.JSON.readTree("""
+        ObjectNode root = (ObjectNode) Json.MAPPER.readTree("""
                 {"name":"n0","listen":"127.0.0.1:0","discovery":"127.0.0.1:1","seed":"8c1f30d27a5be964",
                  "limits":{"cores":1.0,"memory_mb":192,"sockets":1024},
                  "known":{"rev":41,"all":true,"targets":[]},
@@ -67,7 +70,7 @@
     }
 
     static ObjectNode target(String uid, String endpoint, String state) {
-        return Config.JSON.createObjectNode().put("uid", uid).put("endpoint", endpoint).put("az", "a")
+        return Json.MAPPER.createObjectNode().put("uid", uid).put("endpoint", endpoint).put("az", "a")
                 .put("model", "m").put("pod_group", 1).put("state", state).put("capacity_hint", 1.0)
                 .put("boot_ms", 0);
     }
--- a/src/test/java/pondridge/sidecar/DiscoveryTest.java
+++ b/src/test/java/pondridge/sidecar/DiscoveryTest.java
@@ -21,7 +21,7 @@
     private static final String HALF_1 = "{\"rev\":43,\"all\":false,\"targets\":[" + entry("DRAINING") + ",";
     private static final String HALF_2 = "{\"uid\":\"odd\",\"state\":\"???\"}]}\n";
 
-    private record Told(ListKind kind, List<Discovery.Target> targets) { }
+    private record Told(ListKind kind, List<Target> targets) { }
 
     private final MultiThreadIoEventLoopGroup group =
             new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory());
@@ -60,7 +60,7 @@
             Told delta = Stub.next(told);
             assertEquals(ListKind.DELTA, delta.kind);
             assertEquals(List.of(State.DRAINING),
-                    delta.targets.stream().map(Discovery.Target::state).toList());
+                    delta.targets.stream().map(Target::state).toList());
             assertEquals(new Told(ListKind.FULL, List.of()), Stub.next(told));
             assertEquals(new Told(ListKind.FAILED, List.of()), Stub.next(told));
             loop.execute(() -> discovery.watch(true));
--- a/src/test/java/pondridge/sidecar/SidecarTest.java
+++ b/src/test/java/pondridge/sidecar/SidecarTest.java
@@ -398,11 +398,11 @@
     private static WeakReference<byte[]> answered(Bed bed) throws Exception {
         byte[] body = new byte[1000];
         CountDownLatch done = new CountDownLatch(1);
-        Engine.Job job = new Engine.Job(2, 0, 0, 600_000, 0, false, HttpMethod.POST, "/api/x",
+        Job job = new Job(2, 0, 0, 600_000, 0, false, HttpMethod.POST, "/api/x",
                 new DefaultHttpHeaders(), body);
-        bed.loop.execute(() -> bed.engine.submit(job, new Engine.Client() {
+        bed.loop.execute(() -> bed.engine.submit(job, new Client() {
             @Override
-            public void served(Engine.Answer answer) {
+            public void served(Answer answer) {
                 done.countDown();
             }
 
--- a/src/test/java/pondridge/sidecar/UpstreamsTest.java
+++ b/src/test/java/pondridge/sidecar/UpstreamsTest.java
@@ -6,10 +6,8 @@
 import io.netty.channel.EventLoop;
 import io.netty.channel.MultiThreadIoEventLoopGroup;
 import io.netty.channel.nio.NioIoHandler;
-import io.netty.handler.codec.http.DefaultFullHttpRequest;
-import io.netty.handler.codec.http.FullHttpRequest;
+import io.netty.handler.codec.http.DefaultHttpHeaders;
 import io.netty.handler.codec.http.HttpMethod;
-import io.netty.handler.codec.http.HttpVersion;
 import java.io.IOException;
 import java.net.InetAddress;
 import java.net.InetSocketAddress;
@@ -52,11 +50,10 @@
     }
 
     private void send(Upstreams upstreams) {
-        FullHttpRequest request = new DefaultFullHttpRequest(HttpVersion.HTTP_1_1, HttpMethod.GET, "/api/x");
-        loop.execute(() -> upstreams.send(1, request, LONG, this::ended));
+        loop.execute(() -> upstreams.send(1, get("/api/x"), LONG, this::ended));
     }
 
-    private void ended(Outcome outcome, Engine.Answer answer, float[] load) {
+    private void ended(Outcome outcome, Answer answer, float[] load) {
         reports.add(load);
         outcomes.add(outcome);
     }
@@ -144,8 +141,7 @@
                 : Stub.reply(socket, "200 OK", "Srv-Load: " + Stub.header(head, "Say") + "\r\n", "x"))) {
             Upstreams upstreams = upstreams(upstream.address(), LONG, 10);
             for (String text : texts) {
-                FullHttpRequest request =
-                        new DefaultFullHttpRequest(HttpVersion.HTTP_1_1, HttpMethod.GET, "/");
+                Job request = get("/");
                 request.headers().set("Say", text);
                 loop.execute(() -> upstreams.send(1, request, LONG, this::ended));
                 assertEquals(Outcome.OK, Stub.next(outcomes));
@@ -269,11 +265,11 @@
         }
     }
 
-    private static FullHttpRequest get(String path) {
-        return new DefaultFullHttpRequest(HttpVersion.HTTP_1_1, HttpMethod.GET, path);
+    private static Job get(String path) {
+        return new Job(0, 0, 0, 0, 0, false, HttpMethod.GET, path, new DefaultHttpHeaders(), new byte[0]);
     }
 
-    private static String text(Engine.Answer answer) {
+    private static String text(Answer answer) {
         return answer == null ? "none" : new String(answer.body(), StandardCharsets.ISO_8859_1);
     }
 }
