--- a/src/main/java/pondridge/sidecar/Client.java
+++ b/src/main/java/pondridge/core/Client.java
@@ -1,4 +1,4 @@
-package pondridge.sidecar;
+package pondridge.core;
 
 /**
  * The way back: takes a request's one final answer. Exactly one of the methods is called, once, on the event
--- a/src/main/java/pondridge/sidecar/Directory.java
+++ b/src/main/java/pondridge/core/Directory.java
@@ -1,4 +1,4 @@
-package pondridge.sidecar;
+package pondridge.core;
 
 /** Where the list of upstreams comes from. What it finds it tells {@link Engine#listed}, on the loop. */
 public interface Directory {
--- a/src/main/java/pondridge/sidecar/Engine.java
+++ b/src/main/java/pondridge/core/Engine.java
@@ -1,4 +1,4 @@
-package pondridge.sidecar;
+package pondridge.core;
 
 import io.netty.channel.EventLoop;
 import io.netty.handler.codec.http.HttpMethod;
@@ -23,7 +23,7 @@
  * The only caller of the module: tells it events one after the other, on the event loop, and carries out what
  * it orders. Whatever module and upstreams do, a request gets one final answer and a send one outcome.
  */
-final class Engine implements Balancer.Actions {
+public final class Engine implements Balancer.Actions {
     /** What of a client's wait is kept for the answer's way back; the module does not know of it. */
     private static final long ANSWER_ROOM = 10_000_000;
 
@@ -64,7 +64,7 @@
      * @param mostOpen how many requests may be open; what comes beyond that is refused
      * @param transport the way to all upstreams
      */
-    Engine(EventLoop loop, Options options, long seed, int mostOpen, Transport transport) {
+    public Engine(EventLoop loop, Options options, long seed, int mostOpen, Transport transport) {
         Balancer.Settings settings = options.settings();
         this.loop = loop;
         this.rules = new Rules(settings, seed, this);
@@ -76,7 +76,7 @@
     }
 
     /** Begins with the cached list; on the loop, like all that follows. */
-    void start(Directory source, List<Target> known) {
+    public void start(Directory source, List<Target> known) {
         directory = source;
         tell(rules::start);
         listed(ListKind.CACHED, known);
@@ -112,7 +112,7 @@
     }
 
     /** News of the list, or that asking for it failed. */
-    void listed(ListKind kind, List<Target> targets) {
+    public void listed(ListKind kind, List<Target> targets) {
         List<Upstream> entries = new ArrayList<>(targets.size());
         Map<Long, Target> named = new HashMap<>();
         for (Target target : targets) {
@@ -138,7 +138,7 @@
     }
 
     /** Takes a request; returns the number under which {@link #hangup} knows it. */
-    long submit(Job job, Client client) {
+    public long submit(Job job, Client client) {
         if (calls.size() >= mostOpen) {
             client.refused(0);
             return 0;
@@ -159,7 +159,7 @@
     }
 
     /** The client has gone away. */
-    void hangup(long id) {
+    public void hangup(long id) {
         Call call = calls.get(id);
         if (call != null && !call.over) {
             finish(id, call, () -> { });
@@ -168,7 +168,7 @@
     }
 
     /** Whether any request still waits for its answer. */
-    boolean idle() {
+    public boolean idle() {
         return calls.values().stream().allMatch(call -> call.over);
     }
 
--- a/src/main/java/pondridge/sidecar/Headers.java
+++ b/src/main/java/pondridge/core/Headers.java
@@ -1,4 +1,4 @@
-package pondridge.sidecar;
+package pondridge.core;
 
 import io.netty.handler.codec.http.HttpHeaderNames;
 import io.netty.handler.codec.http.HttpHeaders;
@@ -9,7 +9,7 @@
 import java.util.Map;
 
 /** Which headers go on through the sidecar. */
-final class Headers {
+public final class Headers {
     /** They speak of one connection, or tell the sidecar what is not for the application. */
     private static final List<CharSequence> HOP_BY_HOP = List.of(HttpHeaderNames.CONNECTION,
             "Proxy-Connection", "Keep-Alive", HttpHeaderNames.TE, HttpHeaderNames.TRAILER,
@@ -20,7 +20,7 @@
     private Headers() { }
 
     /** Whether a message's transfer coding is plain chunks: any other leaves open where it ends. */
-    static boolean onlyChunked(HttpMessage message) {
+    public static boolean onlyChunked(HttpMessage message) {
         List<String> codings = message.headers().getAll(HttpHeaderNames.TRANSFER_ENCODING);
         return codings.size() == 1 && codings.get(0).trim().equalsIgnoreCase("chunked")
                 && message.protocolVersion().equals(HttpVersion.HTTP_1_1)
@@ -28,7 +28,7 @@
     }
 
     /** Copies all but the headers of one hop, and of those also what {@code Connection} names. */
-    static void copyEndToEnd(HttpHeaders from, HttpHeaders to) {
+    public static void copyEndToEnd(HttpHeaders from, HttpHeaders to) {
         for (Map.Entry<String, String> header : from) {
             String name = header.getKey();
             if (HOP_BY_HOP.stream().noneMatch(hop -> AsciiString.contentEqualsIgnoreCase(hop, name))) {
--- a/src/main/java/pondridge/sidecar/Job.java
+++ b/src/main/java/pondridge/core/Job.java
@@ -1,4 +1,4 @@
-package pondridge.sidecar;
+package pondridge.core;
 
 import io.netty.handler.codec.http.HttpHeaders;
 import io.netty.handler.codec.http.HttpMethod;
--- a/src/main/java/pondridge/sidecar/Json.java
+++ b/src/main/java/pondridge/core/Json.java
@@ -1,4 +1,4 @@
-package pondridge.sidecar;
+package pondridge.core;
 
 import com.fasterxml.jackson.databind.ObjectMapper;
 
--- a/src/main/java/pondridge/sidecar/Target.java
+++ b/src/main/java/pondridge/core/Target.java
@@ -1,4 +1,4 @@
-package pondridge.sidecar;
+package pondridge.core;
 
 import java.net.InetSocketAddress;
 import pondridge.Balancer.State;
--- a/src/main/java/pondridge/sidecar/Frontend.java
+++ b/src/main/java/pondridge/http1/Frontend.java
@@ -1,4 +1,4 @@
-package pondridge.sidecar;
+package pondridge.http1;
 
 import io.netty.bootstrap.ServerBootstrap;
 import io.netty.buffer.ByteBuf;
@@ -50,13 +50,18 @@
 import pondridge.Balancer.RequestClass;
 import pondridge.Balancer.Semantics;
 import pondridge.Options;
+import pondridge.core.Answer;
+import pondridge.core.Client;
+import pondridge.core.Engine;
+import pondridge.core.Headers;
+import pondridge.core.Job;
 
 /**
  * The application's side: reads requests, answers each once, and tells malformed ones so itself. A client
  * that sends what can't be used is told at once, and its connection ends; nobody holds one for longer than a
  * request takes.
  */
-final class Frontend {
+public final class Frontend {
     private static final int LARGEST_BODY = 1 << 16;
     private static final int LONGEST_ID = 128;
     private static final String KEY = "Idempotency-Key";
@@ -92,7 +97,8 @@
     private boolean draining;
     private Channel server;
 
-    Frontend(Engine engine, Options options, int mostConnections) {
+    /** A front that takes at most {@code mostConnections} clients at once. */
+    public Frontend(Engine engine, Options options, int mostConnections) {
         this.engine = engine;
         this.classes = options.settings().classes();
         this.classNames = options.names("profiles");
@@ -101,7 +107,7 @@
     }
 
     /** Listens; requests are answered at once, {@code /up} says 200 after {@link #ready}. */
-    ChannelFuture listen(EventLoopGroup group, InetSocketAddress address) {
+    public ChannelFuture listen(EventLoopGroup group, InetSocketAddress address) {
         ChannelFuture bound = new ServerBootstrap().group(group).channel(NioServerSocketChannel.class)
                 .option(ChannelOption.SO_BACKLOG, 1024)
                 .option(ChannelOption.SO_REUSEADDR, true)
@@ -124,7 +130,8 @@
         return bound;
     }
 
-    void ready() {
+    /** From now on {@code /up} says 200. */
+    public void ready() {
         ready = true;
     }
 
@@ -132,7 +139,7 @@
      * From now on each answer ends its connection, and so do those that wait for none: a request that crosses
      * such an end is sent again on a new connection, and new ones still get in.
      */
-    void drain() {
+    public void drain() {
         draining = true;
         for (Connection connection : List.copyOf(connections)) {
             if (connection.stage == Stage.IDLE || connection.stage == Stage.NEW) {
@@ -142,13 +149,13 @@
     }
 
     /** Ends the listening as well. */
-    void close() {
+    public void close() {
         server.close();
         drain();
     }
 
     /** Whether no client is connected any more. */
-    boolean empty() {
+    public boolean empty() {
         return connections.isEmpty();
     }
 
--- a/src/main/java/pondridge/sidecar/Upstreams.java
+++ b/src/main/java/pondridge/http1/Upstreams.java
@@ -1,4 +1,4 @@
-package pondridge.sidecar;
+package pondridge.http1;
 
 import io.netty.bootstrap.Bootstrap;
 import io.netty.buffer.ByteBuf;
@@ -44,12 +44,17 @@
 import java.util.concurrent.TimeUnit;
 import pondridge.Balancer.Outcome;
 import pondridge.Options;
+import pondridge.core.Answer;
+import pondridge.core.Headers;
+import pondridge.core.Job;
+import pondridge.core.LoadReports;
+import pondridge.core.Transport;
 
 /**
  * Connections to upstreams and the attempts on them. An attempt is written once, on one connection, and ends
  * with one outcome; nothing is sent again from here.
  */
-final class Upstreams implements Transport {
+public final class Upstreams implements Transport {
     /** Good answers of 350 KB have been seen, beyond the protocol's 64 KiB; a bound keeps the memory free. */
     private static final int LARGEST_ANSWER = 1 << 20;
     /** Some answers come behind interim ones; more than a few are no way to an answer. */
@@ -67,7 +72,8 @@
     private final Future<?> retirement;
     private int connections;
 
-    Upstreams(EventLoop loop, Options options, int mostConnections) {
+    /** Holds at most {@code mostConnections} connections in all; time-outs come from the settings. */
+    public Upstreams(EventLoop loop, Options options, int mostConnections) {
         this.loop = loop;
         this.connectTimeoutMs = Math.max(1, (int) (options.number("caps.connectTimeout", 1e9) / 1e6));
         // An upstream closes at its idle time; a tenth before it, no request can cross that on its way.
@@ -158,7 +164,7 @@
     }
 
     /** Closes all idle connections and keeps no more watch on them. */
-    void close() {
+    public void close() {
         retirement.cancel(false);
         pools.values().forEach(Pool::closeIdle);
     }
--- a/src/main/java/pondridge/sidecar/Config.java
+++ b/src/main/java/pondridge/sidecar/Config.java
@@ -11,6 +11,7 @@
 import java.util.Map;
 import java.util.StringJoiner;
 import pondridge.Options;
+import pondridge.core.Json;
 
 /** What one sidecar is told at its start; a mistake is an exception whose message names the key. */
 record Config(String name, InetSocketAddress listen, InetSocketAddress discovery, long seed, int sockets,
--- a/src/main/java/pondridge/sidecar/Discovery.java
+++ b/src/main/java/pondridge/sidecar/Discovery.java
@@ -33,6 +33,9 @@
 import java.util.function.BiConsumer;
 import pondridge.Balancer.ListKind;
 import pondridge.Balancer.State;
+import pondridge.core.Directory;
+import pondridge.core.Json;
+import pondridge.core.Target;
 
 /** Asks discovery for the list: a watch on its changes, or the whole once. The module decides when. */
 final class Discovery implements Directory {
--- a/src/main/java/pondridge/sidecar/Main.java
+++ b/src/main/java/pondridge/sidecar/Main.java
@@ -13,6 +13,9 @@
 import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
 import pondridge.Balancer.RequestClass;
+import pondridge.core.Engine;
+import pondridge.http1.Frontend;
+import pondridge.http1.Upstreams;
 
 /** Entry point of the real sidecar: configuration, start, and an orderly end at SIGTERM. */
 public final class Main {
--- a/src/main/java/pondridge/sidecar/WarmUp.java
+++ b/src/main/java/pondridge/sidecar/WarmUp.java
@@ -14,6 +14,8 @@
 import pondridge.Balancer.Upstream;
 import pondridge.Options;
 import pondridge.Rules;
+import pondridge.core.Job;
+import pondridge.http1.Upstreams;
 
 /**
  * Loads and compiles what every request runs through, before the first client comes: the sidecar asks its own
--- a/src/test/java/pondridge/sidecar/Stub.java
+++ b/src/test/java/pondridge/http1/Stub.java
@@ -1,4 +1,4 @@
-package pondridge.sidecar;
+package pondridge.http1;
 
 import java.io.BufferedInputStream;
 import java.io.ByteArrayOutputStream;
@@ -17,24 +17,24 @@
 import java.util.concurrent.TimeUnit;
 
 /** A peer on a port that the system chose: a script plays each request on each connection. */
-final class Stub implements AutoCloseable {
+public final class Stub implements AutoCloseable {
     /** Long enough for a crowded machine; a test that passes never waits so long. */
-    static final long LIMIT_S = 30;
+    public static final long LIMIT_S = 30;
 
     /** What a stub does with one request; false ends the connection. */
-    interface Script {
+    public interface Script {
         boolean play(Socket socket, String head) throws IOException;
     }
 
-    final BlockingQueue<String> heads = new LinkedBlockingQueue<>();
-    final BlockingQueue<String> bodies = new LinkedBlockingQueue<>();
+    public final BlockingQueue<String> heads = new LinkedBlockingQueue<>();
+    public final BlockingQueue<String> bodies = new LinkedBlockingQueue<>();
     /** One entry each time that the other side has ended a connection. */
-    final BlockingQueue<String> ended = new LinkedBlockingQueue<>();
+    public final BlockingQueue<String> ended = new LinkedBlockingQueue<>();
     private final Set<Socket> open = ConcurrentHashMap.newKeySet();
     private final ServerSocket server;
     private final Script script;
 
-    Stub(Script script) {
+    public Stub(Script script) {
         this.script = script;
         try {
             server = new ServerSocket(0, 50, InetAddress.getLoopbackAddress());
@@ -45,40 +45,41 @@
     }
 
     /** An upstream that answers each request with 200 and this body. */
-    static Stub serving(String body) {
+    public static Stub serving(String body) {
         return new Stub((socket, head) -> reply(socket, "200 OK", "Content-Type: text/x-part\r\n", body));
     }
 
-    static boolean reply(Socket socket, String status, String headers, String body) throws IOException {
+    public static boolean reply(Socket socket, String status, String headers, String body)
+            throws IOException {
         return reply(socket, status, headers, body, body.length());
     }
 
     /** A reply whose body may be longer or shorter than it says. */
-    static boolean reply(Socket socket, String status, String headers, String body, int said)
+    public static boolean reply(Socket socket, String status, String headers, String body, int said)
             throws IOException {
         write(socket, "HTTP/1.1 " + status + "\r\n" + headers + "Content-Length: " + said
                 + "\r\n\r\n" + body);
         return true;
     }
 
-    static void write(Socket socket, String text) throws IOException {
+    public static void write(Socket socket, String text) throws IOException {
         socket.getOutputStream().write(text.getBytes(StandardCharsets.ISO_8859_1));
         socket.getOutputStream().flush();
     }
 
     /** Ends a connection with a reset instead of an orderly close. */
-    static boolean reset(Socket socket) throws IOException {
+    public static boolean reset(Socket socket) throws IOException {
         socket.setSoLinger(true, 0);
         return false;
     }
 
-    static void thread(Runnable work) {
+    public static void thread(Runnable work) {
         Thread thread = new Thread(work);
         thread.setDaemon(true);
         thread.start();
     }
 
-    static <T> T next(BlockingQueue<T> queue) throws InterruptedException {
+    public static <T> T next(BlockingQueue<T> queue) throws InterruptedException {
         T next = queue.poll(LIMIT_S, TimeUnit.SECONDS);
         if (next == null) {
             throw new AssertionError("nothing came within " + LIMIT_S + " s");
@@ -86,11 +87,11 @@
         return next;
     }
 
-    InetSocketAddress address() {
+    public InetSocketAddress address() {
         return (InetSocketAddress) server.getLocalSocketAddress();
     }
 
-    String endpoint() {
+    public String endpoint() {
         return "127.0.0.1:" + server.getLocalPort();
     }
 
@@ -123,7 +124,7 @@
     }
 
     /** Reads up to and with the blank line; empty at the connection's end. */
-    static String head(InputStream in) throws IOException {
+    public static String head(InputStream in) throws IOException {
         ByteArrayOutputStream head = new ByteArrayOutputStream();
         for (int next = in.read(); next >= 0; next = in.read()) {
             head.write(next);
@@ -134,12 +135,12 @@
         return "";
     }
 
-    static int length(String head) {
+    public static int length(String head) {
         String length = header(head, "content-length");
         return length == null ? 0 : Integer.parseInt(length);
     }
 
-    static String header(String head, String name) {
+    public static String header(String head, String name) {
         return head.lines().filter(line -> line.regionMatches(true, 0, name + ":", 0, name.length() + 1))
                 .map(line -> line.substring(name.length() + 1).trim()).findFirst().orElse(null);
     }
@@ -150,7 +151,7 @@
     }
 
     /** Ends as a process does: connections break, new ones are refused. */
-    void die() throws IOException {
+    public void die() throws IOException {
         server.close();
         for (Socket socket : open) {
             socket.close();
--- a/src/test/java/pondridge/sidecar/UpstreamsTest.java
+++ b/src/test/java/pondridge/http1/UpstreamsTest.java
@@ -1,4 +1,4 @@
-package pondridge.sidecar;
+package pondridge.http1;
 
 import static org.junit.jupiter.api.Assertions.assertArrayEquals;
 import static org.junit.jupiter.api.Assertions.assertEquals;
@@ -24,6 +24,8 @@
 import org.junit.jupiter.api.Test;
 import pondridge.Balancer.Outcome;
 import pondridge.Options;
+import pondridge.core.Answer;
+import pondridge.core.Job;
 
 /** Attempts and probes on real connections, and what they end as. */
 class UpstreamsTest {
--- a/src/test/java/pondridge/sidecar/Bed.java
+++ b/src/test/java/pondridge/sidecar/Bed.java
@@ -12,6 +12,11 @@
 import java.net.Socket;
 import java.nio.charset.StandardCharsets;
 import java.util.concurrent.TimeUnit;
+import pondridge.core.Engine;
+import pondridge.core.Json;
+import pondridge.http1.Frontend;
+import pondridge.http1.Stub;
+import pondridge.http1.Upstreams;
 
 /** A sidecar in this process, with its upstreams known from the start, and a client for it. */
 final class Bed implements AutoCloseable {
--- a/src/test/java/pondridge/sidecar/DeployedIT.java
+++ b/src/test/java/pondridge/sidecar/DeployedIT.java
@@ -18,6 +18,7 @@
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.io.TempDir;
+import pondridge.http1.Stub;
 
 /** Both programs as the deploy file starts them, with the packaged jar. */
 class DeployedIT {
--- a/src/test/java/pondridge/sidecar/DiscoveryTest.java
+++ b/src/test/java/pondridge/sidecar/DiscoveryTest.java
@@ -14,6 +14,8 @@
 import org.junit.jupiter.api.Test;
 import pondridge.Balancer.ListKind;
 import pondridge.Balancer.State;
+import pondridge.core.Target;
+import pondridge.http1.Stub;
 
 /** The list and its watch against a discovery that answers in awkward ways. */
 class DiscoveryTest {
--- a/src/test/java/pondridge/sidecar/SidecarTest.java
+++ b/src/test/java/pondridge/sidecar/SidecarTest.java
@@ -16,6 +16,10 @@
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.TimeUnit;
 import org.junit.jupiter.api.Test;
+import pondridge.core.Answer;
+import pondridge.core.Client;
+import pondridge.core.Job;
+import pondridge.http1.Stub;
 
 /** The whole sidecar between a client and upstreams on loopback. */
 class SidecarTest {
