Learn each server's protocol; hard cases, command line, rooms and interop tested

Need: a mixed fleet, settings with checks, and proof that the hard cases hold. ArchUnit holds the rooms and that what decides does no I/O.

--- /dev/null
+++ b/src/main/java/pondridge/cli/Check.java
@@ -0,0 +1,27 @@
+package pondridge.cli;
+
+import java.nio.file.Path;
+import java.util.concurrent.Callable;
+import picocli.CommandLine;
+import picocli.CommandLine.Command;
+import picocli.CommandLine.Model.CommandSpec;
+import picocli.CommandLine.Parameters;
+import picocli.CommandLine.Spec;
+import pondridge.transport.TransportSettings;
+
+/** Reads a settings file as a start would, and starts nothing. */
+@Command(name = "check",
+        description = "Checks a settings file: one line for the first mistake, exit status 2.")
+final class Check implements Callable<Integer> {
+    @Spec
+    private CommandSpec spec;
+    @Parameters(paramLabel = "FILE", description = "the TOML file")
+    private Path file;
+
+    @Override
+    public Integer call() {
+        TransportSettings read = TransportSettings.read(file);
+        spec.commandLine().getOut().println(file + ": good, upstreams speak " + read.protocol());
+        return CommandLine.ExitCode.OK;
+    }
+}
--- a/src/main/java/pondridge/http2/Connection.java
+++ b/src/main/java/pondridge/http2/Connection.java
@@ -57,7 +57,9 @@
     private Channel channel;
     private ChannelHandlerContext context;
     private boolean flushing;
+    private boolean broken;
     private boolean ended;
+    private boolean reached;
     private boolean useful;
     private long idleSince;
 
@@ -82,6 +84,11 @@
         channel = socket;
     }
 
+    /** Whether the upstream took the connection at all. */
+    boolean reached() {
+        return reached;
+    }
+
     ChannelFuture closed() {
         return channel.closeFuture();
     }
@@ -91,7 +98,8 @@
     }
 
     boolean mayOpen() {
-        return !ended && table.mayOpen();
+        // The codec counts a stream until its last frame's reading is over, a moment longer than the table.
+        return !ended && table.mayOpen() && streams.local().canOpenStream();
     }
 
     boolean usable() {
@@ -239,7 +247,7 @@
             idleSince = System.nanoTime();
         }
         closeIfDone();
-        pool.serve();
+        pool.serveSoon();
     }
 
     /** The connection is no more. */
@@ -249,7 +257,7 @@
             List<StreamTable.End<Sending>> ends = table.lost();
             pool.lost(this);
             ends.forEach(end -> pool.ended(end.attempt(), end.outcome()));
-            pool.serve();
+            pool.serveSoon();
         }
     }
 
@@ -261,7 +269,7 @@
         if (first) {
             pool.up(this);
         }
-        pool.serve();
+        pool.serveSoon();
     }
 
     @Override
@@ -350,7 +358,7 @@
     }
 
     private void control() {
-        if (!floods.admit(System.nanoTime())) {
+        if (!broken && !floods.admit(System.nanoTime())) {
             handler.onError(context, false, Http2Exception.connectionError(Http2Error.ENHANCE_YOUR_CALM,
                     "too many control frames"));
         }
@@ -394,6 +402,7 @@
 
         @Override
         public void channelActive(ChannelHandlerContext ctx) throws Exception {
+            reached = true;
             super.channelActive(ctx);
             if (options.connectionWindow() > DEFAULT_WINDOW) {
                 streams.local().flowController().incrementWindowSize(streams.connectionStream(),
@@ -424,10 +433,16 @@
         @Override
         protected void onConnectionError(ChannelHandlerContext ctx, boolean outbound, Throwable cause,
                 Http2Exception error) {
+            if (broken) {
+                return;
+            }
+            // What is still in the buffer of a broken connection is read, but told of no more.
+            broken = true;
             if (!(cause instanceof IOException)) {
                 pool.broken(Connection.this, cause);
             }
             super.onConnectionError(ctx, outbound, cause, error);
+            ctx.close();
         }
 
         @Override
--- a/src/main/java/pondridge/http2/Http2Upstreams.java
+++ b/src/main/java/pondridge/http2/Http2Upstreams.java
@@ -75,7 +75,7 @@
      * Finds out whether an upstream speaks HTTP/2: opens a connection on which nothing but the preface goes
      * out, and waits for the upstream's own. Told on the loop, perhaps within this call.
      */
-    public void learn(long upstream, Consumer<Boolean> learner) {
+    public void learn(long upstream, Consumer<Learned> learner) {
         pools.getOrDefault(upstream, nobody).learn(learner);
     }
 
--- a/src/main/java/pondridge/http2/ServerPool.java
+++ b/src/main/java/pondridge/http2/ServerPool.java
@@ -25,7 +25,7 @@
     private final Http2Options options;
     private final List<Connection> connections = new ArrayList<>();
     private final Set<Sending> waiting = new LinkedHashSet<>();
-    private final List<Consumer<Boolean>> learners = new ArrayList<>();
+    private final List<Consumer<Learned>> learners = new ArrayList<>();
     private InetSocketAddress address;
     private long startedMs;
     private boolean ready;
@@ -63,7 +63,7 @@
         for (Sending attempt : List.copyOf(waiting)) {
             leave(attempt, Outcome.CONNECT_FAILED);
         }
-        learned(false);
+        learned(Learned.NOBODY);
         List.copyOf(connections).forEach(Connection::drain);
         if (opening != null) {
             opening.close();
@@ -75,21 +75,21 @@
     }
 
     /** Finds out whether HTTP/2 is spoken there, with nothing sent but the preface. */
-    void learn(Consumer<Boolean> learner) {
+    void learn(Consumer<Learned> learner) {
         if (connections.stream().anyMatch(each -> each.up() && each.usable())) {
-            learner.accept(true);
+            learner.accept(Learned.HTTP2);
         } else if (!ready) {
-            learner.accept(false);
+            learner.accept(Learned.NOBODY);
         } else {
             learners.add(learner);
             if (opening == null && !open()) {
-                learned(false);
+                learned(Learned.NOBODY);
             }
         }
     }
 
-    private void learned(boolean speaks) {
-        List<Consumer<Boolean>> told = List.copyOf(learners);
+    private void learned(Learned speaks) {
+        List<Consumer<Learned>> told = List.copyOf(learners);
         learners.clear();
         told.forEach(each -> each.accept(speaks));
     }
@@ -141,27 +141,30 @@
         ended(attempt, outcome);
     }
 
+    /** Serves those that wait once what is being read now has been: streams come free at its end. */
+    void serveSoon() {
+        if (!serving && !waiting.isEmpty()) {
+            serving = true;
+            all.loop().execute(() -> {
+                serving = false;
+                serve();
+            });
+        }
+    }
+
     /** Gives free streams to those that wait, the first first, and sees to more connections. */
-    void serve() {
-        if (serving) {
-            return;
+    private void serve() {
+        long now = System.nanoTime();
+        for (Connection free = free(); ready && free != null && !waiting.isEmpty(); free = free()) {
+            Sending next = waiting.iterator().next();
+            waiting.remove(next);
+            free.write(next, now);
         }
-        serving = true;
-        try {
-            long now = System.nanoTime();
-            for (Connection free = free(); ready && free != null && !waiting.isEmpty(); free = free()) {
-                Sending next = waiting.iterator().next();
-                waiting.remove(next);
-                free.write(next, now);
-            }
-            if (ready && !waiting.isEmpty() && !grow(now)
-                    && connections.stream().noneMatch(Connection::usable)) {
-                for (Sending attempt : List.copyOf(waiting)) {
-                    leave(attempt, Outcome.CONNECT_FAILED);
-                }
+        if (ready && !waiting.isEmpty() && !grow(now)
+                && connections.stream().noneMatch(Connection::usable)) {
+            for (Sending attempt : List.copyOf(waiting)) {
+                leave(attempt, Outcome.CONNECT_FAILED);
             }
-        } finally {
-            serving = false;
         }
     }
 
@@ -222,7 +225,7 @@
         if (!ready) {
             made.drain();
         }
-        learned(true);
+        learned(Learned.HTTP2);
     }
 
     /** It opens no more streams; if it never brought an answer, the next one has to wait a while. */
@@ -236,7 +239,7 @@
         if (opening == gone) {
             opening = null;
             missed(gone);
-            learned(false);
+            learned(gone.reached() ? Learned.OTHER : Learned.NOBODY);
             if (connections.stream().noneMatch(Connection::usable)) {
                 for (Sending attempt : List.copyOf(waiting)) {
                     leave(attempt, Outcome.CONNECT_FAILED);
--- a/src/main/java/pondridge/sidecar/Main.java
+++ b/src/main/java/pondridge/sidecar/Main.java
@@ -14,8 +14,11 @@
 import java.util.function.Consumer;
 import pondridge.Balancer.RequestClass;
 import pondridge.core.Engine;
+import pondridge.core.Transport;
 import pondridge.http1.Frontend;
 import pondridge.http1.Upstreams;
+import pondridge.transport.MixedUpstreams;
+import pondridge.transport.TransportSettings;
 
 /** Entry point of the real sidecar: configuration, start, and an orderly end at SIGTERM. */
 public final class Main {
@@ -24,24 +27,32 @@
     /** SIGKILL comes no sooner than the longest deadline and 0.7 s more. */
     private static final long SPARE_MS = 600;
     private static final long POLL_MS = 20;
+    private static final String REHEARSE = "rehearse";
 
     private Main() { }
 
     /**
      * Runs until SIGTERM, with the argument {@code rehearse} only until it is warm: that checks a
-     * configuration, and shows the build which classes belong in the class archive. A bad configuration ends
-     * it with one line and exit status 2.
+     * configuration, and shows the build which classes belong in the class archive. With {@code --settings
+     * FILE} the file's settings hold for the way to upstreams; without it nothing of that is loaded. A bad
+     * configuration ends it with one line and exit status 2.
      */
     public static void main(String[] args) {
         String file = System.getenv("PROXY_CONFIG");
         CompletableFuture<Consumer<Config>> running = new CompletableFuture<>();
         reloadAtSighup(file, running);
         Config config;
+        TransportSettings settings = null;
         try {
             if (file == null) {
                 throw new IllegalArgumentException("not set: PROXY_CONFIG");
             }
             config = Config.read(Path.of(file));
+            if (args.length == 2 && args[0].equals("--settings")) {
+                settings = TransportSettings.read(Path.of(args[1]));
+            } else if (args.length > 0 && !REHEARSE.equals(args[0])) {
+                throw new IllegalArgumentException("arguments: expected none, rehearse or --settings FILE");
+            }
         } catch (IllegalArgumentException | IOException e) {
             System.err.println("pondridge: configuration: " + e.getMessage());
             System.exit(2);
@@ -49,8 +60,9 @@
         }
         MultiThreadIoEventLoopGroup group = new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory());
         EventLoop loop = group.next();
-        boolean rehearsal = args.length == 1 && args[0].equals("rehearse");
-        loop.execute(() -> start(group, loop, config, rehearsal, running));
+        boolean rehearsal = args.length == 1 && args[0].equals(REHEARSE);
+        TransportSettings way = settings;
+        loop.execute(() -> start(group, loop, config, way, rehearsal, running));
     }
 
     /**
@@ -93,8 +105,10 @@
     }
 
     private static void start(MultiThreadIoEventLoopGroup group, EventLoop loop, Config config,
-            boolean rehearsal, CompletableFuture<Consumer<Config>> running) {
-        Upstreams upstreams = new Upstreams(loop, config.options(), config.mostUpstream());
+            TransportSettings settings, boolean rehearsal, CompletableFuture<Consumer<Config>> running) {
+        Transport upstreams = settings == null
+                ? new Upstreams(loop, config.options(), config.mostUpstream())
+                : MixedUpstreams.of(loop, config.options(), settings, config.mostUpstream());
         Engine engine = new Engine(loop, config.options(), config.seed(), config.sockets() / 2, upstreams);
         Discovery discovery = new Discovery(loop, config.discovery(), config.known().rev(), engine::listed);
         Frontend frontend = new Frontend(engine, config.options(), config.mostClients());
--- a/src/main/java/pondridge/standin/StandinServer.java
+++ b/src/main/java/pondridge/standin/StandinServer.java
@@ -2,6 +2,7 @@
 
 import io.netty.bootstrap.ServerBootstrap;
 import io.netty.channel.Channel;
+import io.netty.channel.ChannelFuture;
 import io.netty.channel.ChannelInitializer;
 import io.netty.channel.ChannelOption;
 import io.netty.channel.EventLoop;
@@ -9,8 +10,11 @@
 import io.netty.channel.group.DefaultChannelGroup;
 import io.netty.channel.socket.nio.NioServerSocketChannel;
 import io.netty.handler.codec.http2.Http2Settings;
+import java.io.IOException;
+import java.io.UncheckedIOException;
 import java.net.InetSocketAddress;
 import java.util.Map;
+import java.util.concurrent.locks.LockSupport;
 
 /**
  * An order server that is none: speaks HTTP/1.1 or HTTP/2 (by prior knowledge) on a loopback address,
@@ -37,6 +41,9 @@
         }
     }
 
+    private static final int MOST_TRIES = 100;
+    private static final long PAUSE = 20_000_000;
+
     private final EventLoop loop;
     private final Setup setup;
     private final Desk desk;
@@ -58,29 +65,41 @@
     }
 
     private InetSocketAddress bind(InetSocketAddress at) {
-        listener = new ServerBootstrap().group(loop).channel(NioServerSocketChannel.class)
+        ServerBootstrap bootstrap = new ServerBootstrap().group(loop).channel(NioServerSocketChannel.class)
                 .option(ChannelOption.SO_REUSEADDR, true)
                 .option(ChannelOption.SO_BACKLOG, 1024)
                 .childOption(ChannelOption.TCP_NODELAY, true)
                 .childHandler(new ChannelInitializer<Channel>() {
                     @Override
                     protected void initChannel(Channel made) {
-                        open.add(made);
-                        desk.connected();
-                        made.closeFuture().addListener(closed -> desk.disconnected());
-                        if (protocol == Protocol.HTTP1) {
-                            Http1Standin.into(made.pipeline(), desk, StandinServer.this::fall);
-                        } else {
-                            made.pipeline().addLast(Http2Standin.handler(desk, StandinServer.this::fall,
-                                    new Http2Settings().maxConcurrentStreams(streams)
-                                            .initialWindowSize(setup.window())));
-                        }
+                        accept(made);
                     }
-                })
-                .bind(at).syncUninterruptibly().channel();
+                });
+        ChannelFuture bound = bootstrap.bind(at).awaitUninterruptibly();
+        for (int tries = 1; !bound.isSuccess() && tries < MOST_TRIES; tries++) {
+            // After a stop the old socket is let go only with the loop's next selection.
+            LockSupport.parkNanos(PAUSE);
+            bound = bootstrap.bind(at).awaitUninterruptibly();
+        }
+        if (!bound.isSuccess()) {
+            throw new UncheckedIOException(new IOException("can't listen at " + at, bound.cause()));
+        }
+        listener = bound.channel();
         return (InetSocketAddress) listener.localAddress();
     }
 
+    private void accept(Channel made) {
+        open.add(made);
+        desk.connected();
+        made.closeFuture().addListener(closed -> desk.disconnected());
+        if (protocol == Protocol.HTTP1) {
+            Http1Standin.into(made.pipeline(), desk, this::fall);
+        } else {
+            made.pipeline().addLast(Http2Standin.handler(desk, this::fall, new Http2Settings()
+                    .maxConcurrentStreams(streams).initialWindowSize(setup.window())));
+        }
+    }
+
     public String name() {
         return setup.name();
     }
--- /dev/null
+++ b/src/test/java/pondridge/RoomsTest.java
@@ -0,0 +1,59 @@
+package pondridge;
+
+import static com.tngtech.archunit.lang.syntax.ArchRuleDefinition.classes;
+import static com.tngtech.archunit.lang.syntax.ArchRuleDefinition.noClasses;
+import static com.tngtech.archunit.library.Architectures.layeredArchitecture;
+
+import com.tngtech.archunit.core.importer.ImportOption;
+import com.tngtech.archunit.junit.AnalyzeClasses;
+import com.tngtech.archunit.junit.ArchTest;
+import com.tngtech.archunit.lang.ArchRule;
+
+/** Which room may use which, and that what decides does no I/O. */
+@AnalyzeClasses(packages = "pondridge", importOptions = ImportOption.DoNotIncludeTests.class)
+class RoomsTest {
+    @ArchTest
+    static final ArchRule ROOMS = layeredArchitecture().consideringOnlyDependenciesInLayers()
+            .layer("module").definedBy("pondridge")
+            .layer("adapter").definedBy("pondridge.adapter")
+            .layer("core").definedBy("pondridge.core")
+            .layer("settings").definedBy("pondridge.settings")
+            .layer("http1").definedBy("pondridge.http1")
+            .layer("http2").definedBy("pondridge.http2")
+            .layer("transport").definedBy("pondridge.transport")
+            .layer("standin").definedBy("pondridge.standin")
+            .layer("sidecar").definedBy("pondridge.sidecar")
+            .layer("cli").definedBy("pondridge.cli")
+            .whereLayer("adapter").mayNotBeAccessedByAnyLayer()
+            .whereLayer("core").mayOnlyAccessLayers("module")
+            .whereLayer("settings").mayNotAccessAnyLayer()
+            .whereLayer("http1").mayOnlyAccessLayers("module", "core")
+            .whereLayer("http2").mayOnlyAccessLayers("module", "core", "settings")
+            .whereLayer("transport").mayOnlyAccessLayers("module", "core", "settings", "http1", "http2")
+            .whereLayer("standin").mayNotAccessAnyLayer()
+            .whereLayer("standin").mayOnlyBeAccessedByLayers("cli")
+            .whereLayer("sidecar").mayOnlyAccessLayers("module", "core", "http1", "transport")
+            .whereLayer("sidecar").mayNotBeAccessedByAnyLayer()
+            .whereLayer("cli").mayNotBeAccessedByAnyLayer();
+
+    @ArchTest
+    static final ArchRule MODULE = noClasses().that().resideInAPackage("pondridge").should()
+            .dependOnClassesThat().resideInAnyPackage("io.netty..", "java.io..", "java.net..", "java.nio..",
+                    "com.fasterxml..", "java.util.concurrent..");
+
+    /** Names of the deciding classes of all rooms; a new one is added here. */
+    private static final String DECIDING =
+            ".*\\.(StreamTable|Proof|Liveness|ResetBudget|FloodGuard|ProtocolChoice|ColdStart)";
+
+    @ArchTest
+    static final ArchRule DECIDERS = noClasses().that().haveNameMatching(DECIDING).should()
+            .dependOnClassesThat().resideInAnyPackage("io.netty..", "java.io..", "java.net..", "java.nio..",
+                    "java.util.concurrent..")
+            .orShould().callMethod(System.class, "nanoTime")
+            .orShould().callMethod(System.class, "currentTimeMillis");
+
+    @ArchTest
+    static final ArchRule NO_DECIDER_IS_MISSED =
+            classes().that().haveNameMatching(DECIDING).should().bePackagePrivate()
+                    .orShould().bePublic();
+}
--- /dev/null
+++ b/src/test/java/pondridge/bench/Bench.java
@@ -0,0 +1,18 @@
+package pondridge.bench;
+
+/** Entry point of the measurements: the argument names one. */
+public final class Bench {
+    private Bench() { }
+
+    /** Runs one measurement; prints its lines, each a list of key=value. */
+    public static void main(String[] args) throws Exception {
+        switch (args.length == 1 ? args[0] : "") {
+            case "http2" -> new Http2Bench().run();
+            default -> {
+                System.err.println("bench: expected -Dbench=http2");
+                System.exit(2);
+            }
+        }
+        System.exit(0);
+    }
+}
--- /dev/null
+++ b/src/test/java/pondridge/cli/BankflowTest.java
@@ -0,0 +1,70 @@
+package pondridge.cli;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.io.ByteArrayOutputStream;
+import java.io.PrintStream;
+import java.nio.charset.StandardCharsets;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.Map;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.io.TempDir;
+
+/** The command line: mistakes are one line that names them, and exit status 2. */
+class BankflowTest {
+    @TempDir
+    private Path folder;
+
+    private static String errors(int status, String... args) {
+        PrintStream before = System.err;
+        ByteArrayOutputStream errors = new ByteArrayOutputStream();
+        System.setErr(new PrintStream(errors, true, StandardCharsets.UTF_8));
+        try {
+            assertEquals(status, Bankflow.run(args));
+        } finally {
+            System.setErr(before);
+        }
+        return errors.toString(StandardCharsets.UTF_8);
+    }
+
+    @Test
+    void goodSettingsAreGood() {
+        assertEquals("", errors(0, "check", "deploy/bankflow.toml"));
+    }
+
+    @Test
+    void mistakesAreNamed() throws Exception {
+        Map<String, String> mistakes = Map.of(
+                "[http2]\nstream_wait = 50", "http2.stream_wait: expected a time with its unit",
+                "[http2]\nstream_wait = \"50\"", "http2.stream_wait: expected a time with its unit",
+                "[http2]\nstream_wait = \"1MiB\"", "http2.stream_wait: expected a time with its unit",
+                "[http2]\nwaiting = -1", "http2.waiting: expected a whole number from 0",
+                "[http2]\nwating = 1", "http2.wating: unknown key",
+                "[http3]\nx = 1", "http3: unknown section",
+                "[upstreams]\nprotocol = \"spdy\"", "upstreams.protocol: expected one of http1, http2, auto",
+                "[http2]\nconnections = 2", "http2.connections: fewer than connections_per_server",
+                "http2 = 3", "http2: expected a section",
+                "[http2", "not TOML: line 1");
+        for (Map.Entry<String, String> each : mistakes.entrySet()) {
+            Path file = Files.writeString(folder.resolve("x.toml"), each.getKey());
+            String told = errors(2, "check", file.toString());
+            assertTrue(told.startsWith(file + ": " + each.getValue()), told);
+            assertEquals(1, told.lines().count(), told);
+        }
+        assertTrue(errors(2, "check", folder.resolve("none").toString()).contains("can't be read"));
+    }
+
+    @Test
+    void standinsListenOnLoopbackOnly() {
+        assertTrue(errors(2, "standin", "server", "--protocol", "http2", "--listen", "192.0.2.1:80")
+                .contains("expected a loopback address"));
+        assertTrue(errors(2, "standin", "server", "--protocol", "spdy", "--listen", "127.0.0.1:0")
+                .contains("expected http1 or http2"));
+        assertTrue(errors(2, "standin", "server", "--protocol", "http2", "--listen", "127.0.0.1:0", "--fault",
+                "sulk=1").contains("unknown fault: sulk"));
+        assertEquals("", errors(0, "standin", "server", "--protocol", "http2", "--listen", "127.0.0.1:0",
+                "--for-s", "0"));
+    }
+}
