--- a/src/test/java/pondridge/bench/Http2Bench.java
+++ b/src/test/java/pondridge/bench/Http2Bench.java
@@ -75,7 +75,8 @@
                 mean(of, Result::p99), mean(of, Result::p50) - mean(direct, Result::p50),
                 mean(of, Result::p99) - mean(direct, Result::p99), cpu, cpu / mean(http1, Result::cpu),
                 mean(of, Result::connections),
-                mean(of, Result::connections) / mean(http1, Result::connections), mean(of, Result::memory), mean(of, r -> r.bad));
+                mean(of, Result::connections) / mean(http1, Result::connections),
+                mean(of, Result::memory), mean(of, Result::bad));
     }
 
     private Result measure(String way, Protocol protocol, int clients) throws Exception {
