--- a/src/main/java/pondridge/http2/Connection.java
+++ b/src/main/java/pondridge/http2/Connection.java
@@ -253,9 +253,10 @@
     /** The connection is no more. */
     private void lost() {
         if (!ended) {
+            boolean inUse = usable();
             ended = true;
             List<StreamTable.End<Sending>> ends = table.lost();
-            pool.lost(this);
+            pool.lost(this, inUse);
             ends.forEach(end -> pool.ended(end.attempt(), end.outcome()));
             pool.serveSoon();
         }
--- a/src/main/java/pondridge/http2/ServerPool.java
+++ b/src/main/java/pondridge/http2/ServerPool.java
@@ -204,7 +204,7 @@
                                 TimeUnit.NANOSECONDS);
                         made.closed().addListener(closed -> timer.cancel(false));
                     } else {
-                        all.loop().execute(() -> lost(made));
+                        all.loop().execute(() -> lost(made, false));
                     }
                 });
         return true;
@@ -233,8 +233,8 @@
         missed(gone);
     }
 
-    /** It is no more. */
-    void lost(Connection gone) {
+    /** It is no more; {@code inUse} until now: neither a GOAWAY nor a drain had come before. */
+    void lost(Connection gone, boolean inUse) {
         connections.remove(gone);
         if (opening == gone) {
             opening = null;
@@ -245,7 +245,7 @@
                     leave(attempt, Outcome.CONNECT_FAILED);
                 }
             }
-        } else if (gone.usable()) {
+        } else if (inUse) {
             missed(gone);
         }
     }
--- a/src/main/java/pondridge/transport/MixedUpstreams.java
+++ b/src/main/java/pondridge/transport/MixedUpstreams.java
@@ -150,14 +150,15 @@
         ProtocolChoice.Step step = server == null ? ProtocolChoice.Step.HTTP1 : server.choice.step();
         switch (step) {
             case HTTP2 -> http2.probe(upstream, listener);
-            case LEARN -> http2.learn(upstream, learned -> {
+            case HTTP1 -> http1.probe(upstream, listener);
+            default -> http2.learn(upstream, learned -> {
+                // While another one is learning, that one's result is told here, too.
                 server.choice.learned(learned, System.nanoTime());
                 (learned == Learned.HTTP2 ? http2 : http1).probe(upstream, listener);
                 if (!server.waiting.isEmpty()) {
                     dispatch(upstream, server);
                 }
             });
-            default -> http1.probe(upstream, listener);
         }
     }
 
--- a/src/test/java/pondridge/http2/Direct.java
+++ b/src/test/java/pondridge/http2/Direct.java
@@ -20,6 +20,7 @@
 import pondridge.http1.Stub;
 import pondridge.standin.EffectLedger;
 import pondridge.standin.FaultScript;
+import pondridge.standin.FaultyLink;
 import pondridge.standin.KeyMemory;
 import pondridge.standin.OrderClass;
 import pondridge.standin.StandinServer;
@@ -59,6 +60,13 @@
         return made;
     }
 
+    /** A good link in front of a server, which becomes the way to the upstream of that number. */
+    FaultyLink link(StandinServer server, long upstream) throws Exception {
+        FaultyLink made = new FaultyLink(servers, local(0), server.address(), 1);
+        listed(upstream, made.address(), true);
+        return made;
+    }
+
     static InetSocketAddress local(int port) {
         return new InetSocketAddress(InetAddress.getLoopbackAddress(), port);
     }
--- a/src/test/java/pondridge/http2/Http2UpstreamsTest.java
+++ b/src/test/java/pondridge/http2/Http2UpstreamsTest.java
@@ -23,6 +23,7 @@
 import pondridge.http1.Stub;
 import pondridge.standin.Fault;
 import pondridge.standin.FaultScript;
+import pondridge.standin.FaultyLink;
 import pondridge.standin.StandinServer;
 
 /** Attempts over HTTP/2 on real connections, and what they end as. */
@@ -128,10 +129,9 @@
     void bodyStuckBehindAWindowNeverRan() throws Exception {
         try (Direct direct = new Direct("");
                 StandinServer server = direct.server(1, 100, 40, FaultScript.none(MS))) {
-            direct.send(1, "stuck", 200 * MS);
-            // The stand-in gives no window back before it has the whole of 100 bytes through 40.
-            Direct.Ended ended = direct.next();
-            assertEquals(ended.outcome() == Outcome.OK, server.runs() == 1);
+            direct.send(1, "in parts", Direct.LONG);
+            assertEquals(Outcome.OK, direct.next().outcome(), "100 bytes through a window of 40");
+            assertEquals(1, server.runs());
         }
         try (Direct direct = new Direct("");
                 StandinServer server = direct.server(1, 100, 0, FaultScript.none(MS))) {
@@ -302,6 +302,42 @@
         }
     }
 
+    /** What is wrong with one stream ends that one; the connection and the others on it go on. */
+    @Test
+    void protocolErrorOnOneStreamEndsThatOne() throws Exception {
+        byte[] noIncrement = frame(8, 0, 1, new byte[4]);
+        try (Raw raw = new Raw(frame(4, 0, 0), new byte[0], noIncrement, 1); Direct direct = new Direct("")) {
+            direct.listed(1, raw.address(), true);
+            direct.send(1, "x", Direct.LONG);
+            assertEquals(Outcome.ERROR, direct.next().outcome());
+            direct.send(1, "y", 200 * MS);
+            assertEquals(Outcome.TIMEOUT, direct.next().outcome(), "sent on the same connection");
+            assertEquals(0, raw.ended.size());
+        }
+    }
+
+    /** A direction of the link is lost: nothing ends the connection but its own pings. */
+    @Test
+    void silentLinksAreNoticed() throws Exception {
+        for (FaultyLink.Way way : FaultyLink.Way.values()) {
+            try (Direct direct = new Direct("quiet = \"50ms\"\nping_wait = \"50ms\"\nredial = \"1ms\"");
+                    StandinServer server = direct.server(1, 100, WINDOW, FaultScript.none(MS));
+                    FaultyLink link = direct.link(server, 1)) {
+                direct.send(1, "good", Direct.LONG);
+                assertEquals(Outcome.OK, direct.next().outcome());
+                FaultyLink.Condition good = FaultyLink.Condition.delayed(0, 0);
+                link.set(way, good.lost(true));
+                direct.send(1, "lost", Direct.LONG);
+                assertEquals(Outcome.RESET, direct.next().outcome(), "it may have run");
+                int runs = way == FaultyLink.Way.BACK ? 2 : 1;
+                Direct.until(() -> server.runs() == runs, "as it did, or not");
+                link.set(way, good);
+                direct.send(1, "again", Direct.LONG);
+                assertEquals(Outcome.OK, direct.next().outcome(), "on a new connection");
+            }
+        }
+    }
+
     /** What does not greet as HTTP/2 does gets no request at all. */
     @Test
     void nothingGoesToWhoDoesNotSpeakHttp2() throws Exception {
--- a/src/test/java/pondridge/http2/InteropTest.java
+++ b/src/test/java/pondridge/http2/InteropTest.java
@@ -34,6 +34,7 @@
 /** Peers that are not ours, on either side: OkHttp's client and its test server, by prior knowledge. */
 class InteropTest {
     private static final long MS = 1_000_000;
+    private static final int LARGE = 500_000;
 
     /** The stand-in server satisfies another client, also with trailers and a reset behind the answer. */
     @Test
@@ -85,7 +86,9 @@
     /** The transport gets on with another server, and takes its refusals for what they prove. */
     @Test
     void anotherServerIsSpokenTo() throws Exception {
-        try (MockWebServer server = new MockWebServer(); Direct direct = new Direct("")) {
+        try (MockWebServer server = new MockWebServer();
+                Direct direct = new Direct("stream_window = \"16KiB\"\nconnection_window = \"64KiB\"\n"
+                + "header_bytes = \"1KiB\"")) {
             server.setProtocols(List.of(Protocol.H2_PRIOR_KNOWLEDGE));
             AtomicInteger resetWith = new AtomicInteger(-1);
             server.setDispatcher(new Dispatcher() {
@@ -98,6 +101,13 @@
 
                 @Override
                 public MockResponse dispatch(RecordedRequest request) {
+                    String path = String.valueOf(request.getPath());
+                    if (path.endsWith("large")) {
+                        return new MockResponse().setBody("x".repeat(LARGE));
+                    }
+                    if (path.endsWith("heads")) {
+                        return new MockResponse().setHeader("Long", "x".repeat(8_000)).setBody("x");
+                    }
                     return new MockResponse().setBody(request.getHeader("Req-Id") + " "
                             + request.getBodySize());
                 }
@@ -113,6 +123,13 @@
                 assertEquals(ended.id() + " 100",
                         new String(ended.answer().body(), StandardCharsets.US_ASCII));
             }
+            for (String id : List.of("large", "heads")) {
+                direct.send(1, id, Direct.LONG);
+                Direct.Ended ended = direct.next();
+                boolean large = id.equals("large");
+                assertEquals(large ? Outcome.OK : Outcome.RESET, ended.outcome(), id);
+                assertEquals(large ? LARGE : -1, large ? ended.answer().body().length : -1);
+            }
             resetWith.set((int) StreamTable.REFUSED_STREAM);
             direct.send(1, "refused", Direct.LONG);
             assertEquals(Outcome.REJECTED, direct.next().outcome());
