Begin the gateway between sites: the design, and the router with its model

Need: orders must reach another site when their own is cut, without a resend window growing wider. What stands in a stalled pipe arrives when it heals, so windows across a link are cut by the freshness that the far side will ask for.

--- /dev/null
+++ b/src/main/java/pondridge/gateway/Router.java
@@ -0,0 +1,144 @@
+package pondridge.gateway;
+
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.TreeMap;
+import pondridge.Balancer.RequestClass;
+import pondridge.Balancer.Scope;
+import pondridge.Balancer.Semantics;
+
+/**
+ * Where a request goes next, by its class and by what is known of it so far: to the own site's servers, to
+ * another site, or back with its final answer. Which server it is, is each site's own decision module's to
+ * say. No I/O; time is an argument, in nanoseconds.
+ */
+final class Router {
+    /** The next step. */
+    sealed interface Step permits Own, Across, Refuse, Fail { }
+
+    /** To the own servers, for so long. */
+    record Own(long left) implements Step { }
+
+    /**
+     * To another site.
+     *
+     * @param left what that site may take from when it has it
+     * @param window how long from now it may be sent to servers there; without bound where nothing of it may
+     *     have run so far
+     */
+    record Across(String site, long left, long window) implements Step { }
+
+    /** The final answer: trying again is harmless. */
+    record Refuse() implements Step { }
+
+    /** The final answer: failed, with no promise about effects. */
+    record Fail() implements Step { }
+
+    /** Another site as it is seen from here; {@code credit} is how many more it takes just now. */
+    record Site(LinkTimes link, boolean up, int credit) { }
+
+    /** A request goes to the own site once, and to another one twice: there by another of its gateways. */
+    private static final int MOST_ACROSS = 2;
+    private final String own;
+    private final OwnSite ownSite;
+    private final CrossingBudget budget;
+    private final Map<RequestClass, Double> standings;
+    private final long leastWork;
+    private final long freshness;
+
+    /**
+     * A router.
+     *
+     * @param own this site's name
+     * @param classes all classes; their worth says what crosses first
+     * @param freshness the other side drops what has been on its way for longer than this
+     * @param leastWork what is left of a request's time must be more than this to be of use to a server
+     */
+    Router(String own, OwnSite ownSite, CrossingBudget budget, List<RequestClass> classes, long leastWork,
+            long freshness) {
+        this.own = own;
+        this.ownSite = ownSite;
+        this.budget = budget;
+        this.leastWork = leastWork;
+        this.freshness = freshness;
+        this.standings = new HashMap<>();
+        double best = classes.stream().mapToDouble(RequestClass::worth).max().orElse(1);
+        double least = classes.stream().mapToDouble(RequestClass::worth).min().orElse(0);
+        for (RequestClass each : classes) {
+            standings.put(each, best == least ? 1 : (each.worth() - least) / (best - least));
+        }
+    }
+
+    /** A client's request has come; one from another site does not count for the budget. */
+    void came(Trail trail) {
+        if (!trail.byLink()) {
+            budget.came();
+        }
+    }
+
+    /**
+     * The next step of a request that is nowhere just now.
+     *
+     * @param deadline by when the client must have its answer
+     * @param sites the others, by name
+     */
+    Step next(long now, RequestClass kind, long deadline, Trail trail, Map<String, Site> sites) {
+        long left = deadline - now;
+        boolean ownPossible = left > leastWork && trail.timesAt(own) == 0
+                && allowed(now, kind, trail, own, 0);
+        if (ownPossible && (trail.byLink() || ownSite.accepts(now))) {
+            return new Own(left);
+        }
+        if (!trail.byLink()) {
+            Across across = across(now, left, kind, trail, sites);
+            if (across != null) {
+                return across;
+            }
+            if (ownPossible) {
+                // The own site is cut or only just back, but nothing else is there to be tried.
+                return new Own(left);
+            }
+        }
+        boolean harmless = trail.doubt() == null || kind.semantics() == Semantics.REPEATABLE;
+        return harmless ? new Refuse() : new Fail();
+    }
+
+    /** The nearest site that may and can take it; its crossing is then paid for. */
+    private Across across(long now, long left, RequestClass kind, Trail trail, Map<String, Site> sites) {
+        String nearest = null;
+        long shortest = Long.MAX_VALUE;
+        for (Map.Entry<String, Site> each : new TreeMap<>(sites).entrySet()) {
+            Site site = each.getValue();
+            long trip = site.link.estimate();
+            if (site.up && site.credit > 0 && !site.link.stalled(now) && left - trip > leastWork
+                    && trail.timesAt(each.getKey()) < MOST_ACROSS && trip < shortest
+                    && allowed(now, kind, trail, each.getKey(), trip + freshness)) {
+                nearest = each.getKey();
+                shortest = trip;
+            }
+        }
+        return nearest == null || !budget.take(standings.getOrDefault(kind, 0.0), now) ? null
+                : new Across(nearest, left - shortest, window(now, kind, trail) - shortest);
+    }
+
+    private static long window(long now, RequestClass kind, Trail trail) {
+        Trail.Doubt doubt = trail.doubt();
+        return doubt == null || kind.semantics() != Semantics.BY_KEY ? Long.MAX_VALUE
+                : doubt.since() + kind.keyTtl() - now;
+    }
+
+    /** Whether the class allows a sending to a site, which takes {@code way} at most to get there. */
+    private static boolean allowed(long now, RequestClass kind, Trail trail, String site, long way) {
+        Trail.Doubt doubt = trail.doubt();
+        if (doubt == null) {
+            return true;
+        }
+        return switch (kind.semantics()) {
+            case REPEATABLE -> true;
+            case ONCE -> false;
+            case BY_KEY -> now + way < doubt.since() + kind.keyTtl()
+                    && (kind.scope() == Scope.ALL || doubt.site().equals(site));
+        };
+    }
+}
--- a/src/test/java/pondridge/RoomsTest.java
+++ b/src/test/java/pondridge/RoomsTest.java
@@ -20,6 +20,7 @@
             .layer("http1").definedBy("pondridge.http1")
             .layer("http2").definedBy("pondridge.http2")
             .layer("transport").definedBy("pondridge.transport")
+            .layer("gateway").definedBy("pondridge.gateway")
             .layer("standin").definedBy("pondridge.standin")
             .layer("sidecar").definedBy("pondridge.sidecar")
             .layer("cli").definedBy("pondridge.cli")
@@ -29,6 +30,8 @@
             .whereLayer("http1").mayOnlyAccessLayers("module", "core")
             .whereLayer("http2").mayOnlyAccessLayers("module", "core", "settings")
             .whereLayer("transport").mayOnlyAccessLayers("module", "core", "settings", "http1", "http2")
+            .whereLayer("gateway").mayOnlyAccessLayers("module", "core", "settings", "http1", "http2",
+                    "transport")
             .whereLayer("standin").mayNotAccessAnyLayer()
             .whereLayer("standin").mayOnlyBeAccessedByLayers("cli")
             .whereLayer("sidecar").mayOnlyAccessLayers("module", "core", "http1", "transport")
@@ -42,7 +45,8 @@
 
     /** Names of the deciding classes of all rooms; a new one is added here. */
     private static final String DECIDING =
-            ".*\\.(StreamTable|Proof|Liveness|ResetBudget|FloodGuard|ProtocolChoice|ColdStart)";
+            ".*\\.(StreamTable|Proof|Liveness|ResetBudget|FloodGuard|ProtocolChoice|ColdStart|Router|Trail"
+            + "|LinkTimes|CrossingBudget|OwnSite)";
 
     @ArchTest
     static final ArchRule DECIDERS = noClasses().that().haveNameMatching(DECIDING).should()
