--- a/src/main/java/pondridge/gateway/OwnSite.java
+++ b/src/main/java/pondridge/gateway/OwnSite.java
@@ -3,8 +3,8 @@
 /**
  * Whether this site's own servers can be reached. Out of reach after a run of tries that came to nothing or
  * with no server ready; then tried now and then; back by a trickle that doubles, since servers may be cold
- * and queues full; each relapse makes the next return wait longer, so that a flapping link brings no storm. Times
- * in nanoseconds.
+ * and queues full; each relapse makes the next return wait longer, so that a flapping link brings no storm.
+ * Times in nanoseconds.
  */
 final class OwnSite {
     /** Where the site is. */
