Close a connection with a hundred streams open and a hundred on their way

Need: the hard case at its size on one connection, with what never ran counted exactly. Change: one test over four ways of closing; all that is not said to have never run did run. Measured: with one GOAWAY the 99 above its last stream are told, and none of them ran.

--- a/src/test/java/pondridge/http2/Direct.java
+++ b/src/test/java/pondridge/http2/Direct.java
@@ -77,13 +77,26 @@
 
     /** Sends a booking with a body; returns the attempt. */
     Transport.Attempt send(long upstream, String id, long wait) throws Exception {
+        return loop.submit(() -> start(upstream, id, wait)).get();
+    }
+
+    /** Sends so many in one turn of the loop: none of them can know what comes of the others. */
+    void burst(long upstream, String id, int count) throws Exception {
+        loop.submit(() -> {
+            for (int i = 0; i < count; i++) {
+                start(upstream, id + i, LONG);
+            }
+        }).get();
+    }
+
+    private Transport.Attempt start(long upstream, String id, long wait) {
         ledger.asked(id, OrderClass.named("order-book"), "", LONG);
         HttpHeaders headers = new DefaultHttpHeaders().set("Host", "app.svc").set("Req-Id", id)
                 .set("Req-Kind", "order-book");
         Job job = new Job(0, 0, 0, 0, 0, false, HttpMethod.POST, "/api/" + id, headers, new byte[100]);
         long began = System.nanoTime();
-        return loop.submit(() -> transport.send(upstream, job, wait, (outcome, answer, load) ->
-                ended.add(new Ended(id, outcome, answer, System.nanoTime() - began)))).get();
+        return transport.send(upstream, job, wait, (outcome, answer, load) ->
+                ended.add(new Ended(id, outcome, answer, System.nanoTime() - began)));
     }
 
     void cancel(Transport.Attempt attempt) throws Exception {
--- a/src/test/java/pondridge/http2/Http2UpstreamsTest.java
+++ b/src/test/java/pondridge/http2/Http2UpstreamsTest.java
@@ -103,6 +103,30 @@
         }
     }
 
+    /** A hundred are open on one connection when it closes, and a hundred more are on their way there. */
+    @Test
+    void closesWithAHundredOpenTellWhatNeverRan() throws Exception {
+        for (Fault fault : List.of(Fault.GOAWAY_LAST, Fault.GOAWAY_LOWERED, Fault.CLOSE, Fault.SILENT)) {
+            try (Direct direct = new Direct("connections_per_server = 1\nquiet = \"100ms\"\n"
+                    + "ping_wait = \"100ms\"\nredial = \"10s\"");
+                    StandinServer server = direct.server(1, 300, WINDOW, FaultScript.none(400 * MS))) {
+                direct.burst(1, "open", 100);
+                Direct.until(() -> server.runs() == 100, "a hundred open");
+                server.faults(Map.of(fault, 1.0));
+                direct.burst(1, "more", 100);
+                int neverRan = 0;
+                for (int i = 0; i < 200; i++) {
+                    neverRan += direct.next().outcome().provesNeverRan() ? 1 : 0;
+                }
+                assertEquals(200 - neverRan, server.runs(), fault + ": all else did run");
+                if (fault == Fault.GOAWAY_LAST) {
+                    assertEquals(99, neverRan, "all above the last stream");
+                }
+                assertEquals(0, direct.ledger.verdict().doubled());
+            }
+        }
+    }
+
     /** Once a drain is told, who waits for a stream must not go there any more. */
     @Test
     void drainEndsTheWaitForAStream() throws Exception {
