Reset at once what was said to have never run, whatever the ration of resets

Cause: seen on reading the change again. With the ration used up, a stream whose body stood behind a window kept it when its attempt ended as never run; once the server opened the window the body left and ran, so the effect could happen twice, and a drain's 2 s could be passed. The model took such streams for dead, which hid it. Change: the table marks ends whose request has not wholly left, and the connection resets those at once (they count towards the ration). The model lets all others go on and run. Stand-in servers can change their window.

--- a/src/main/java/pondridge/http2/Connection.java
+++ b/src/main/java/pondridge/http2/Connection.java
@@ -216,12 +216,18 @@
         if (ended || !resets.take(now)) {
             return false;
         }
-        handler.resetStream(context, id, Http2Error.CANCEL.code(), context.newPromise());
-        table.closed(id);
-        flush();
+        resetNow(id);
         return true;
     }
 
+    private void resetNow(int id) {
+        if (!ended) {
+            handler.resetStream(context, id, Http2Error.CANCEL.code(), context.newPromise());
+            table.closed(id);
+            flush();
+        }
+    }
+
     private void applyAll(List<StreamTable.End<Sending>> ends) {
         ends.forEach(this::settle);
         after();
@@ -235,7 +241,11 @@
     }
 
     private void settle(StreamTable.End<Sending> end) {
-        if (end.open()) {
+        if (end.unsent()) {
+            // Danger: left open, its body would leave as soon as the upstream opens the window, and run.
+            resets.take(System.nanoTime());
+            resetNow(end.stream());
+        } else if (end.open()) {
             reset(end.stream(), System.nanoTime());
         }
         useful |= end.outcome() == Outcome.OK;
--- a/src/main/java/pondridge/http2/StreamTable.java
+++ b/src/main/java/pondridge/http2/StreamTable.java
@@ -23,8 +23,13 @@
     static final int MOST_INTERIM = 16;
     private static final int LAST_ID = Integer.MAX_VALUE;
 
-    /** An attempt's outcome, and whether the upstream still has the stream open and it is to be reset. */
-    record End<T>(T attempt, int stream, Outcome outcome, boolean open) { }
+    /**
+     * An attempt's end.
+     *
+     * @param open the upstream still has the stream open: it is to be reset, as often as that may be done
+     * @param unsent the request has not wholly left; what is proven holds only if the stream is reset now
+     */
+    record End<T>(T attempt, int stream, Outcome outcome, boolean open, boolean unsent) { }
 
     /** One stream; {@code attempt} is null once it has ended. */
     private static final class Stream<T> {
@@ -268,7 +273,7 @@
         }
         T attempt = stream.attempt;
         stream.attempt = null;
-        return new End<>(attempt, stream.id, outcome, open);
+        return new End<>(attempt, stream.id, outcome, open, open && !stream.handed);
     }
 
     private static <T> void add(List<End<T>> ends, End<T> end) {
--- a/src/main/java/pondridge/standin/Http2Standin.java
+++ b/src/main/java/pondridge/standin/Http2Standin.java
@@ -87,6 +87,13 @@
         flush(context);
     }
 
+    /** Tells another window of each stream, which also opens or shuts those that are there. */
+    void window(int bytes) {
+        encoder().writeSettings(context, new Http2Settings().initialWindowSize(bytes),
+                context.newPromise());
+        flush(context);
+    }
+
     /** The graceful pair (RFC 9113, section 6.8); what comes later is not run. */
     void leave() {
         goAway(Integer.MAX_VALUE);
--- a/src/main/java/pondridge/standin/StandinServer.java
+++ b/src/main/java/pondridge/standin/StandinServer.java
@@ -144,6 +144,16 @@
         }));
     }
 
+    /** HTTP/2: tells the connections that are open another window of each stream, in bytes. */
+    public void window(int bytes) {
+        loop.execute(() -> open.forEach(each -> {
+            Http2Standin handler = each.pipeline().get(Http2Standin.class);
+            if (handler != null) {
+                handler.window(bytes);
+            }
+        }));
+    }
+
     /** Turns all away unseen, HTTP/2 after the graceful pair of GOAWAYs; or no longer. */
     public void drain(boolean on) {
         desk.decline(on);
--- a/src/test/java/pondridge/http2/Http2UpstreamsTest.java
+++ b/src/test/java/pondridge/http2/Http2UpstreamsTest.java
@@ -171,6 +171,27 @@
         }
     }
 
+    /** What is said to have never run is reset at once, ration or not: its body must not leave later. */
+    @Test
+    void whatIsSaidToHaveNeverRunDoesNotRunWhenItsWindowOpens() throws Exception {
+        try (Direct direct = new Direct("resets = 1\nreset_window = \"10min\"");
+                StandinServer server = direct.server(1, 100, 0, FaultScript.none(MS))) {
+            for (int i = 0; i < 4; i++) {
+                direct.send(1, "late" + i, 100 * MS);
+            }
+            for (int i = 0; i < 4; i++) {
+                assertEquals(Outcome.CONNECT_FAILED, direct.next().outcome());
+            }
+            direct.cancel(direct.send(1, "cancelled", Direct.LONG));
+            assertEquals(Outcome.CANCELLED, direct.next().outcome());
+            server.window(WINDOW);
+            direct.send(1, "open", Direct.LONG);
+            assertEquals(Outcome.OK, direct.next().outcome());
+            assertEquals(1, server.runs(), "what came behind them has run, and none of them");
+            assertEquals(1, server.mostConnections());
+        }
+    }
+
     /** Ids are used up: the connection takes no more, another does. */
     @Test
     void usedUpStreamIdsBringAnotherConnection() throws Exception {
--- a/src/test/java/pondridge/http2/StreamTableTest.java
+++ b/src/test/java/pondridge/http2/StreamTableTest.java
@@ -38,6 +38,7 @@
         private final Set<Integer> ran = new HashSet<>();
         private final Set<Integer> answering = new HashSet<>();
         private final Map<Integer, Outcome> outcomes = new HashMap<>();
+        private final Map<Integer, Outcome> streams = new HashMap<>();
         private int last = Integer.MAX_VALUE;
         private long limit;
         private int attempts;
@@ -51,9 +52,13 @@
         private void took(StreamTable.End<Integer> end) {
             if (end != null) {
                 assertNull(outcomes.put(end.attempt(), end.outcome()), "one outcome an attempt");
+                streams.put(end.stream(), end.outcome());
                 if (end.outcome().provesNeverRan()) {
                     assertFalse(ran.contains(end.stream()), "said to have never run: " + end);
-                    // What the proof rests on must stay so: nothing of it may run later.
+                }
+                if (end.unsent()) {
+                    // Reset now, whatever the ration says. What is not marked so may go on and run.
+                    table.closed(end.stream());
                     open.remove(end.stream());
                 } else if (end.open() && random.nextBoolean()) {
                     table.closed(end.stream());
@@ -136,6 +141,7 @@
             table.lost().forEach(this::took);
             assertEquals(attempts, outcomes.size(), "every attempt has ended");
             assertEquals(0, table.open());
+            ran.forEach(id -> assertFalse(streams.get(id).provesNeverRan(), "ran later: " + id));
         }
     }
 
@@ -168,7 +174,7 @@
         }
         assertEquals(List.of(), table.goAway(Integer.MAX_VALUE), "the graceful one ends nothing");
         assertFalse(table.mayOpen());
-        assertEquals(List.of(new StreamTable.End<>("c", 5, Outcome.REJECTED, false)), table.goAway(3));
+        assertEquals(List.of(new StreamTable.End<>("c", 5, Outcome.REJECTED, false, false)), table.goAway(3));
         assertEquals(List.of(), table.goAway(7));
         assertEquals(List.of("a", "b"), table.goAway(0).stream().map(StreamTable.End::attempt).toList());
         assertEquals(0, table.open());
@@ -215,10 +221,10 @@
         assertNull(table.head(id, 200, false, false));
         assertNull(table.data(id, false));
         StreamTable.End<String> end = table.head(id, 0, false, true);
-        assertEquals(new StreamTable.End<>("a", id, Outcome.OK, false), end, "trailers end it");
+        assertEquals(new StreamTable.End<>("a", id, Outcome.OK, false, false), end, "trailers end it");
         assertNull(table.reset(id, 0), "a reset with NO_ERROR after that changes nothing");
         int early = table.open("early");
-        assertEquals(new StreamTable.End<>("early", early, Outcome.ERROR, true),
+        assertEquals(new StreamTable.End<>("early", early, Outcome.ERROR, true, true),
                 table.head(early, 200, false, true), "200 for what has not wholly left");
         int declined = table.open("declined");
         assertEquals(Outcome.REJECTED, table.head(declined, 503, true, true).outcome());
@@ -244,7 +250,7 @@
         StreamTable<String> table = up(1);
         int id = table.open("a");
         table.handed(id);
-        assertEquals(new StreamTable.End<>("a", id, Outcome.TIMEOUT, true), table.late(id));
+        assertEquals(new StreamTable.End<>("a", id, Outcome.TIMEOUT, true, false), table.late(id));
         assertFalse(table.mayOpen());
         assertNull(table.head(id, 200, false, false), "a late answer is nobody's");
         assertEquals(List.of(id), table.givenUp());
@@ -267,7 +273,7 @@
         StreamTable<String> table = up(10);
         int half = table.open("half");
         table.handed(table.open("whole"));
-        assertEquals(List.of(new StreamTable.End<>("half", half, Outcome.CONNECT_FAILED, true)),
+        assertEquals(List.of(new StreamTable.End<>("half", half, Outcome.CONNECT_FAILED, true, true)),
                 table.drain());
         assertFalse(table.mayOpen());
         assertEquals(Outcome.RESET, table.lost().get(0).outcome());
