Let HTTP/2's pool decide apart from its sockets, in a room of its own with a model

Cause: ServerPool asked for one more connection whenever others waited, also when one with free streams had just come up and the loop had not yet served them. What the pool decides stood between sockets, timers and the loop's turns, where no seeded model could reach it.

Change: pondridge.pool (Pool, SharedRoom) takes events and gives orders, without I/O or clock, for any members that have credit; ServerPool keeps sockets and one timer a pool instead of one an attempt. New besides the cause: who waits for a dial that is not yet due, or for room held by other pools, is seen to when it comes; a connection closed from here no longer counts as a miss; a second GOAWAY does not count twice.

--- a/src/main/java/pondridge/http2/Connection.java
+++ b/src/main/java/pondridge/http2/Connection.java
@@ -31,12 +31,13 @@
 import pondridge.Balancer.Outcome;
 import pondridge.core.Evidence;
 import pondridge.core.LoadReports;
+import pondridge.pool.Member;
 
 /**
  * One connection to an upstream: writes attempts on streams of their own, tells {@link StreamTable} what goes
  * and comes, and ends attempts by what that says.
  */
-final class Connection extends Http2FrameAdapter {
+final class Connection extends Http2FrameAdapter implements Member {
     private static final AsciiString LOAD = AsciiString.cached(LoadReports.HEADER.toLowerCase());
     private static final AsciiString DECLINED = AsciiString.cached(Evidence.DECLINED.toLowerCase());
     /** A header block may come in many small frames, but not in any number (CVE-2024-27316 and its kin). */
@@ -97,12 +98,18 @@
         return table.up();
     }
 
-    boolean mayOpen() {
+    @Override
+    public int credit() {
+        if (ended || streams.goAwaySent()) {
+            return 0;
+        }
         // The codec counts a stream until its last frame's reading is over, a moment longer than the table.
-        return !ended && table.mayOpen() && streams.local().canOpenStream();
+        int codec = streams.local().maxActiveStreams() - streams.local().numActiveStreams();
+        return Math.max(0, Math.min(codec, table.credit()));
     }
 
-    boolean usable() {
+    @Override
+    public boolean usable() {
         return !ended && table.usable();
     }
 
@@ -111,15 +118,17 @@
         return useful;
     }
 
-    boolean idle() {
+    @Override
+    public boolean idle() {
         return table.open() == 0;
     }
 
-    long idleSince() {
+    @Override
+    public long idleSince() {
         return idleSince;
     }
 
-    /** Writes an attempt on a stream of its own; {@link #mayOpen} has just said yes. */
+    /** Writes an attempt on a stream of its own; there has just been credit. */
     void write(Sending attempt, long now) {
         if (idle()) {
             liveness.awoken(now);
@@ -257,18 +266,16 @@
             idleSince = System.nanoTime();
         }
         closeIfDone();
-        pool.serveSoon();
+        pool.freed();
     }
 
     /** The connection is no more. */
     private void lost() {
         if (!ended) {
-            boolean inUse = usable();
             ended = true;
             List<StreamTable.End<Sending>> ends = table.lost();
-            pool.lost(this, inUse);
+            pool.lost(this);
             ends.forEach(end -> pool.ended(end.attempt(), end.outcome()));
-            pool.serveSoon();
         }
     }
 
@@ -280,7 +287,7 @@
         if (first) {
             pool.up(this);
         }
-        pool.serveSoon();
+        pool.freed();
     }
 
     @Override
--- a/src/main/java/pondridge/http2/Http2Options.java
+++ b/src/main/java/pondridge/http2/Http2Options.java
@@ -1,5 +1,6 @@
 package pondridge.http2;
 
+import pondridge.pool.PoolLimits;
 import pondridge.settings.Section;
 
 /**
@@ -19,7 +20,8 @@
  * @param answersBytes of all bodies that are on their way
  * @param streamWindow what one stream may have on its way to here (RFC 9113, section 6.9)
  * @param connectionWindow what one connection may
- * @param redial after a connection that came to nothing, how long no other is opened; doubled up to 20 times
+ * @param redial after a connection that came to nothing, how long no other is opened; up to 16 times as long
+ *     after several in a row
  */
 public record Http2Options(int connectionsPerServer, int connections, int waiting, long streamWait,
         long settingsWait, long quiet, long pingWait, int resets, long resetWindow, int controlFrames,
@@ -52,4 +54,8 @@
         }
         return read;
     }
+
+    PoolLimits pool() {
+        return new PoolLimits(connectionsPerServer, waiting, streamWait, redial);
+    }
 }
--- a/src/main/java/pondridge/http2/Http2Upstreams.java
+++ b/src/main/java/pondridge/http2/Http2Upstreams.java
@@ -1,7 +1,9 @@
 package pondridge.http2;
 
-import io.netty.channel.Channel;
+import io.netty.bootstrap.Bootstrap;
+import io.netty.channel.ChannelOption;
 import io.netty.channel.EventLoop;
+import io.netty.channel.socket.nio.NioSocketChannel;
 import io.netty.handler.codec.http.DefaultHttpHeaders;
 import io.netty.handler.codec.http.HttpHeaderNames;
 import io.netty.handler.codec.http.HttpHeaders;
@@ -19,6 +21,7 @@
 import pondridge.core.Job;
 import pondridge.core.LoadReports;
 import pondridge.core.Transport;
+import pondridge.pool.SharedRoom;
 
 /**
  * The way to upstreams that speak HTTP/2 (RFC 9113) in the clear, by prior knowledge. An attempt is written
@@ -39,10 +42,11 @@
     private final Map<Long, ServerPool> pools = new HashMap<>();
     /** Pools of upstreams that are listed no more, while something is open there. */
     private final List<ServerPool> leaving = new ArrayList<>();
+    private final SharedRoom room;
+    private final Dialler dialler;
     private final ServerPool nobody;
     private final Future<?> looking;
     private LongConsumer http1Wanted = upstream -> { };
-    private int connections;
     private long held;
 
     /** Time-outs for connecting and idleness come from the platform's settings, all else from its own. */
@@ -52,6 +56,16 @@
 
     /** With other rules of proof and another first stream: for tests. */
     Http2Upstreams(EventLoop loop, Options settings, Http2Options options, Proof proof, int firstStream) {
+        this(loop, settings, options, proof, firstStream, (address, timeoutMs, initializer) ->
+                new Bootstrap().group(loop).channel(NioSocketChannel.class)
+                        .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, timeoutMs)
+                        .option(ChannelOption.TCP_NODELAY, true)
+                        .handler(initializer).connect(address));
+    }
+
+    /** With other rules of proof, another first stream and another way to sockets: for tests. */
+    Http2Upstreams(EventLoop loop, Options settings, Http2Options options, Proof proof, int firstStream,
+            Dialler dialler) {
         this.loop = loop;
         this.options = options;
         this.proof = proof;
@@ -60,6 +74,8 @@
         // As for HTTP/1.1: closed a tenth before the upstream would, nothing can cross its close.
         this.keepIdle = (long) (settings.number("caps.connIdle", 5e9) * 0.9);
         this.reports = new LoadReports(settings);
+        this.room = new SharedRoom(options.connections());
+        this.dialler = dialler;
         this.nobody = new ServerPool(this, options);
         long step = Math.max(SHORTEST_LOOK,
                 Math.min(LONGEST_LOOK, Math.min(options.quiet(), options.pingWait()) / 4));
@@ -117,7 +133,7 @@
 
     /** How many connections are open. */
     public int connections() {
-        return connections;
+        return room.taken();
     }
 
     /** Closes all idle connections and keeps no more watch on them. */
@@ -130,7 +146,7 @@
         long now = System.nanoTime();
         List.copyOf(pools.values()).forEach(pool -> pool.look(now, keepIdle));
         leaving.forEach(pool -> pool.look(now, keepIdle));
-        leaving.removeIf(ServerPool::empty);
+        leaving.removeIf(ServerPool::dissolve);
     }
 
     EventLoop loop() {
@@ -145,31 +161,16 @@
         return connectTimeoutMs;
     }
 
-    Connection connection(ServerPool pool) {
-        return new Connection(pool, options, proof, firstStream, System.nanoTime());
+    SharedRoom room() {
+        return room;
     }
 
-    /** Whether one more connection may be opened, perhaps after the longest idle one is closed. */
-    boolean room() {
-        if (connections < options.connections()) {
-            return true;
-        }
-        Connection longest = null;
-        for (ServerPool pool : pools.values()) {
-            Connection each = pool.longestIdle();
-            if (each != null && (longest == null || each.idleSince() - longest.idleSince() < 0)) {
-                longest = each;
-            }
-        }
-        if (longest != null) {
-            longest.close();
-        }
-        return longest != null;
+    Dialler dialler() {
+        return dialler;
     }
 
-    void opened(Channel socket) {
-        connections++;
-        socket.closeFuture().addListener(closed -> connections--);
+    Connection connection(ServerPool pool) {
+        return new Connection(pool, options, proof, firstStream, System.nanoTime());
     }
 
     /** Takes room for a part of an answer; false if all bodies together are too large. */
--- a/src/main/java/pondridge/http2/Sending.java
+++ b/src/main/java/pondridge/http2/Sending.java
@@ -17,7 +17,6 @@
     private final long endsAt;
     private final Transport.Listener listener;
     private Future<?> timer;
-    private Future<?> streamTimer;
     private Connection connection;
     private int stream;
     private HttpHeaders headers;
@@ -49,16 +48,10 @@
         timer = set;
     }
 
-    /** Waits for a stream until this timer rings. */
-    void waits(Future<?> set) {
-        streamTimer = set;
-    }
-
     /** It is on a stream from now on. */
     void placed(Connection on, int id) {
         connection = on;
         stream = id;
-        stopWaiting();
     }
 
     void begin(HttpHeaders answer, String report) {
@@ -100,7 +93,6 @@
             return;
         }
         over = true;
-        stopWaiting();
         if (timer != null) {
             timer.cancel(false);
         }
@@ -110,11 +102,4 @@
         body = null;
         listener.ended(outcome, answer, report);
     }
-
-    private void stopWaiting() {
-        if (streamTimer != null) {
-            streamTimer.cancel(false);
-            streamTimer = null;
-        }
-    }
 }
--- a/src/main/java/pondridge/http2/StreamTable.java
+++ b/src/main/java/pondridge/http2/StreamTable.java
@@ -83,7 +83,16 @@
 
     /** Whether one more stream may be opened now. */
     boolean mayOpen() {
-        return up() && usable() && streams.size() < limit;
+        return credit() > 0;
+    }
+
+    /** How many more streams may be opened now. */
+    int credit() {
+        if (!up() || !usable()) {
+            return 0;
+        }
+        long ids = (LAST_ID - nextId) / 2 + 1;
+        return (int) Math.max(0, Math.min(ids, limit - streams.size()));
     }
 
     /** Whether streams may ever again be opened: false after a GOAWAY, a drain or the last stream id. */
--- a/src/main/java/pondridge/standin/EffectLedger.java
+++ b/src/main/java/pondridge/standin/EffectLedger.java
@@ -107,6 +107,11 @@
         }
     }
 
+    /** A client has gone without an answer, for this reason. */
+    public synchronized void unanswered(String id, String why) {
+        say("no answer: " + id + ", " + why);
+    }
+
     /** The first of a request has reached a server. */
     public synchronized void arrived(String server, String id) {
         Long told = draining.get(server);
