--- a/src/main/java/pondridge/Options.java
+++ b/src/main/java/pondridge/Options.java
@@ -34,6 +34,15 @@
         }
     }
 
+    /** The same with some lines more, which replace those before them. */
+    public Options with(String lines) {
+        Options more = new Options(lines);
+        Options all = new Options("");
+        all.values.putAll(values);
+        all.values.putAll(more.values);
+        return all;
+    }
+
     /** What the module is set to. */
     public Settings settings() {
         List<RequestClass> classes = new ArrayList<>();
--- a/src/main/java/pondridge/core/Client.java
+++ b/src/main/java/pondridge/core/Client.java
@@ -5,6 +5,9 @@
  * loop, perhaps within {@link Engine#submit}; none after {@link Engine#hangup}.
  */
 public interface Client {
+    /** Called right before {@link #refused} or {@link #failed}, with what had been tried; for who asks. */
+    default void tried(Tried tried) { }
+
     /** Served by an upstream. */
     void served(Answer answer);
 
--- a/src/main/java/pondridge/core/Engine.java
+++ b/src/main/java/pondridge/core/Engine.java
@@ -23,7 +23,7 @@
  * The only caller of the module: tells it events one after the other, on the event loop, and carries out what
  * it orders. Whatever module and upstreams do, a request gets one final answer and a send one outcome.
  */
-public final class Engine implements Balancer.Actions {
+public final class Engine implements Balancer.Actions, Requests {
     /** What of a client's wait is kept for the answer's way back; the module does not know of it. */
     private static final long ANSWER_ROOM = 10_000_000;
 
@@ -34,12 +34,37 @@
         private final List<Transport.Attempt> attempts = new ArrayList<>(1);
         private Future<?> timer;
         private int out;
+        private int sent;
+        private int reached;
+        private boolean doubt;
         private boolean over;
 
         Call(Job job, Client client) {
             this.job = job;
             this.client = client;
         }
+
+        private void ended(Outcome outcome) {
+            out--;
+            doubt |= !outcome.provesNeverRan();
+            boolean answered = outcome == Outcome.OK || outcome == Outcome.ERROR
+                    || outcome == Outcome.REJECTED;
+            reached += answered ? 1 : 0;
+        }
+
+        private void refused(long wait) {
+            tell();
+            client.refused(wait);
+        }
+
+        private void failed() {
+            tell();
+            client.failed();
+        }
+
+        private void tell() {
+            client.tried(new Tried(sent, reached, doubt || out > 0));
+        }
     }
 
     private final EventLoop loop;
@@ -137,9 +162,10 @@
         });
     }
 
-    /** Takes a request; returns the number under which {@link #hangup} knows it. */
+    @Override
     public long submit(Job job, Client client) {
         if (calls.size() >= mostOpen) {
+            client.tried(new Tried(0, 0, false));
             client.refused(0);
             return 0;
         }
@@ -148,7 +174,7 @@
         Call call = new Call(job, client);
         calls.put(id, call);
         // The module answers by its own deadline; this holds for whatever it may have missed.
-        call.timer = loop.schedule(() -> finish(id, call, client::failed), left + ANSWER_ROOM / 2,
+        call.timer = loop.schedule(() -> finish(id, call, call::failed), left + ANSWER_ROOM / 2,
                 TimeUnit.NANOSECONDS);
         tell(now -> {
             call.deadline = now + left;
@@ -158,7 +184,7 @@
         return id;
     }
 
-    /** The client has gone away. */
+    @Override
     public void hangup(long id) {
         Call call = calls.get(id);
         if (call != null && !call.over) {
@@ -206,6 +232,7 @@
             wait = Math.min(wait, timeout);
         }
         call.attempts.add(null);
+        call.sent++;
         call.attempts.set(number, transport.send(upstream, call.job, wait,
                 (outcome, answer, load) ->
                         ended(request, call, number, upstream, now, outcome, answer, load)));
@@ -214,7 +241,7 @@
     private void ended(long id, Call call, int number, long upstream, long sentAt, Outcome outcome,
             Answer answer, float[] load) {
         tell(now -> {
-            call.out--;
+            call.ended(outcome);
             if (outcome == Outcome.OK) {
                 finish(id, call, () -> call.client.served(answer));
             }
@@ -227,7 +254,7 @@
     public void refuse(long request, long wait) {
         Call call = calls.get(request);
         if (call != null) {
-            finish(request, call, () -> call.client.refused(wait));
+            finish(request, call, () -> call.refused(wait));
         }
     }
 
@@ -235,7 +262,7 @@
     public void fail(long request) {
         Call call = calls.get(request);
         if (call != null) {
-            finish(request, call, call.client::failed);
+            finish(request, call, call::failed);
         }
     }
 
--- a/src/main/java/pondridge/core/Job.java
+++ b/src/main/java/pondridge/core/Job.java
@@ -20,4 +20,15 @@
     public Job with(byte[] whole) {
         return new Job(requestClass, tenant, key, waitMs, costHint, clientRetry, method, uri, headers, whole);
     }
+
+    /** The same request with other headers. */
+    public Job with(HttpHeaders others) {
+        return new Job(requestClass, tenant, key, waitMs, costHint, clientRetry, method, uri, others, body);
+    }
+
+    /** The same request, for which there are so many nanoseconds from now. */
+    public Job within(long left) {
+        return new Job(requestClass, tenant, key, Math.max(1, left / 1_000_000), costHint, clientRetry,
+                method, uri, headers, body);
+    }
 }
--- /dev/null
+++ b/src/main/java/pondridge/gateway/FarSite.java
@@ -0,0 +1,212 @@
+package pondridge.gateway;
+
+import io.netty.channel.EventLoop;
+import io.netty.handler.codec.http.DefaultHttpHeaders;
+import io.netty.handler.codec.http.HttpHeaders;
+import io.netty.handler.codec.http.HttpMethod;
+import io.netty.util.concurrent.Future;
+import java.net.InetSocketAddress;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.concurrent.TimeUnit;
+import pondridge.Balancer.ListKind;
+import pondridge.Balancer.Outcome;
+import pondridge.Balancer.State;
+import pondridge.Options;
+import pondridge.core.Answer;
+import pondridge.core.Directory;
+import pondridge.core.Engine;
+import pondridge.core.Job;
+import pondridge.core.Target;
+import pondridge.http2.Http2Upstreams;
+
+/**
+ * Another site as it is reached from here: its gateways, ruled by a decision module of their own, and what
+ * beats tell of each of them. A beat is a request that asks for nothing; it measures the link, brings the
+ * gateway's stamp and its credit, and shows a stall. On the event loop only.
+ */
+final class FarSite {
+    /** Beats in a row that may stay unanswered before a gateway is taken for gone, however long its link. */
+    private static final int MOST_MISSED = 3;
+    private static final long LONGEST_BEAT = 2_000_000_000;
+
+    private final class Gateway {
+        private final String name;
+        private final InetSocketAddress address;
+        private final LinkTimes times;
+        private long id;
+        private int credit;
+        private int missed = 1;
+        private boolean beating;
+        private boolean ready;
+
+        Gateway(String name, InetSocketAddress address, long now) {
+            this.name = name;
+            this.address = address;
+            this.times = new LinkTimes(link.stall(), link.stallFactor(), now);
+        }
+
+        private boolean usable(long now) {
+            return missed == 0 && transport.stamped(id) && !times.stalled(now);
+        }
+
+        private int free() {
+            return Math.max(0, credit - transport.inFlight(id));
+        }
+
+        private Target target() {
+            State state = ready ? State.READY : State.DRAINING;
+            return new Target(name, address, site, "gateway", 0, state, 1, 0);
+        }
+    }
+
+    private final String own;
+    private final String site;
+    private final EventLoop loop;
+    private final GatewaySettings.Link link;
+    private final Log log;
+    private final LinkTransport transport;
+    private final Engine engine;
+    private final List<Gateway> gateways = new ArrayList<>();
+    private final Future<?> beats;
+    private int listed;
+
+    /**
+     * A site whose gateways are at these addresses.
+     *
+     * @param options of its decision module, see {@link #options}
+     * @param mostOpen requests that may be across at a time
+     */
+    FarSite(EventLoop loop, String own, String site, List<InetSocketAddress> addresses,
+            GatewaySettings.Link link, Options options, Http2Upstreams way, long seed, int mostOpen,
+            Log log) {
+        this.loop = loop;
+        this.own = own;
+        this.site = site;
+        this.link = link;
+        this.log = log;
+        this.transport = new LinkTransport(way, this::numbered);
+        this.engine = new Engine(loop, options, seed, mostOpen, transport);
+        long now = System.nanoTime();
+        for (InetSocketAddress address : addresses) {
+            gateways.add(new Gateway(site + '-' + gateways.size(), address, now));
+        }
+        engine.start(new Directory() {
+            @Override
+            public void watch(boolean on) { }
+
+            @Override
+            public void fetch() { }
+        }, gateways.stream().map(Gateway::target).toList());
+        this.beats = loop.scheduleWithFixedDelay(this::beat, 0, link.beat(), TimeUnit.NANOSECONDS);
+    }
+
+    /** Numbers are given in the order of the list. */
+    private void numbered(long id) {
+        gateways.get(listed++).id = id;
+    }
+
+    /**
+     * The settings of a module that rules gateways: as its site's, but that a repeat may arrive late by
+     * {@code freshness}, that gateways are not probed, and that the list comes by itself.
+     */
+    static Options options(Options platform, long freshness) {
+        StringBuilder more = new StringBuilder("discovery=automatic\ncaps.mayProbe=false\nreport.fields=\n");
+        int classes = platform.settings().classes().size();
+        for (int i = 0; i < classes; i++) {
+            long window = platform.settings().classes().get(i).keyTtl();
+            more.append("profiles.").append(i).append(".keyTtl=").append(Math.max(0, window - freshness))
+                    .append('\n');
+        }
+        return platform.with(more.toString());
+    }
+
+    Engine engine() {
+        return engine;
+    }
+
+    /** The site as the router sees it: the nearest gateway that takes more, and what all of them take. */
+    Router.Site view(long now) {
+        LinkTimes nearest = null;
+        int credit = 0;
+        for (Gateway each : gateways) {
+            int free = each.usable(now) ? each.free() : 0;
+            credit += free;
+            if (free > 0 && (nearest == null || each.times.estimate() < nearest.estimate())) {
+                nearest = each.times;
+            }
+        }
+        return new Router.Site(nearest == null ? gateways.get(0).times : nearest, nearest != null, credit);
+    }
+
+    /** How many gateways take requests. */
+    long gatewaysUp() {
+        return gateways.stream().filter(each -> each.ready).count();
+    }
+
+    private void beat() {
+        long now = System.nanoTime();
+        for (Gateway each : gateways) {
+            tell(each, now);
+            if (!each.beating) {
+                beat(each, now);
+            }
+        }
+    }
+
+    private void beat(Gateway gateway, long now) {
+        gateway.beating = true;
+        gateway.times.owed(true, now);
+        HttpHeaders headers = new DefaultHttpHeaders().set("Host", site)
+                .set(LinkHeaders.VERSION, LinkHeaders.SPOKEN).set(LinkHeaders.SITE, own);
+        Job job = new Job(0, 0, 0, 0, 0, false, HttpMethod.GET, LinkHeaders.BEAT, headers, new byte[0]);
+        long wait = Math.min(LONGEST_BEAT, 8 * Math.max(link.stall(), gateway.times.estimate()));
+        transport.beat(gateway.id, job, wait, (outcome, answer, load) -> {
+            gateway.beating = false;
+            long then = System.nanoTime();
+            gateway.times.owed(false, then);
+            if (outcome == Outcome.OK && heard(gateway, answer)) {
+                gateway.times.roundTrip(then - now, then);
+                gateway.missed = 0;
+            } else {
+                gateway.missed++;
+            }
+            tell(gateway, then);
+        });
+    }
+
+    private boolean heard(Gateway gateway, Answer answer) {
+        String stamp = answer.headers().get(LinkHeaders.STAMP);
+        Integer credit = answer.headers().getInt(LinkHeaders.CREDIT);
+        if (stamp == null || credit == null || !LinkHeaders.SPOKEN.equals(answer.headers().get(
+                LinkHeaders.VERSION))) {
+            // An older version, or something else: without a stamp nothing may cross.
+            log.warn("link_version", gateway.name, "beats bring no stamp or credit: nothing crosses there");
+            return false;
+        }
+        transport.stamp(gateway.id, stamp);
+        gateway.credit = credit;
+        return true;
+    }
+
+    /** Tells the module whether a gateway takes new requests, when that has changed. */
+    private void tell(Gateway gateway, long now) {
+        boolean ready = gateway.usable(now);
+        boolean lost = gateway.missed >= MOST_MISSED || gateway.times.stalled(now);
+        if (ready != gateway.ready && (ready || lost)) {
+            gateway.ready = ready;
+            if (ready) {
+                log.info("link_up", gateway.name, "round trip "
+                        + gateway.times.estimate() / 1_000_000 + " ms");
+            } else {
+                log.warn("link_down", gateway.name, gateway.missed == 0 ? "stalled" : "no beat comes back");
+            }
+            engine.listed(ListKind.DELTA, List.of(gateway.target()));
+        }
+    }
+
+    void close() {
+        beats.cancel(false);
+        transport.close();
+    }
+}
--- /dev/null
+++ b/src/main/java/pondridge/gateway/Gateway.java
@@ -0,0 +1,197 @@
+package pondridge.gateway;
+
+import io.netty.bootstrap.Bootstrap;
+import io.netty.channel.Channel;
+import io.netty.channel.ChannelFuture;
+import io.netty.channel.ChannelHandler;
+import io.netty.channel.ChannelInitializer;
+import io.netty.channel.ChannelOption;
+import io.netty.channel.EventLoop;
+import io.netty.channel.socket.nio.NioSocketChannel;
+import java.io.IOException;
+import java.net.InetSocketAddress;
+import java.util.HashMap;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Random;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.TimeUnit;
+import pondridge.Balancer.ListKind;
+import pondridge.Balancer.State;
+import pondridge.Options;
+import pondridge.core.Directory;
+import pondridge.core.Engine;
+import pondridge.core.JobReader;
+import pondridge.core.Target;
+import pondridge.core.Transport;
+import pondridge.http1.Frontend;
+import pondridge.http2.Dialler;
+import pondridge.http2.Http2Upstreams;
+
+/**
+ * One gateway of a site: takes clients' requests as the sidecar does and other sites' requests from its link,
+ * and has a decision module for its own site's servers and one for each other site's gateways. On one event
+ * loop; keeps nothing that another gateway would need for safety.
+ */
+public final class Gateway {
+    private static final long REFRESH_S = 10;
+
+    private final EventLoop loop;
+    private final Engine own;
+    private final OwnSite ownSite;
+    private final Dispatcher dispatcher;
+    private final Frontend frontend;
+    private final LinkFront linkFront;
+    private final Map<String, FarSite> others = new LinkedHashMap<>();
+    private final Map<String, State> servers = new HashMap<>();
+    private final LinkTls tls;
+    private final Log log;
+
+    /**
+     * A gateway that does not listen yet; on its loop.
+     *
+     * @param options of the platform: classes, tenants, rules
+     * @param upstreams the way to the own site's servers
+     * @param mostOpen requests that may be open at a time, and client connections
+     * @throws IOException if a certificate can't be used
+     */
+    public Gateway(EventLoop loop, Options options, GatewaySettings settings, Transport upstreams, long seed,
+            int mostOpen) throws IOException {
+        this.loop = loop;
+        this.log = new Log(settings.site());
+        long now = System.nanoTime();
+        GatewaySettings.Link link = settings.link();
+        GatewaySettings.Crossing crossing = settings.crossing();
+        this.tls = link.tls() == null ? null : new LinkTls(link.tls());
+        this.own = new Engine(loop, options, seed, mostOpen, upstreams);
+        this.ownSite = new OwnSite(crossing.own(), now);
+        CrossingBudget budget =
+                new CrossingBudget(crossing.perSecond(), crossing.burst(), crossing.share(), now);
+        Router router = new Router(settings.site(), ownSite, budget, options.settings().classes(),
+                crossing.leastWork(), link.freshness());
+        JobReader reader = new JobReader(options);
+        Random random = new Random(seed);
+        Options far = FarSite.options(options, link.freshness());
+        settings.sites().forEach((name, addresses) -> others.put(name, new FarSite(loop, settings.site(),
+                name, addresses, link, far, new Http2Upstreams(loop, far, link.http2(), dialler(name)),
+                random.nextLong(), mostOpen, log)));
+        this.dispatcher = new Dispatcher(loop, settings.site(), router, ownSite, own, others, reader,
+                link.freshness());
+        this.frontend = new Frontend(dispatcher, options, mostOpen);
+        this.linkFront = new LinkFront(loop, link, tls, settings.sites().keySet(), dispatcher, reader,
+                random.nextLong(), log);
+    }
+
+    private Dialler dialler(String site) {
+        return (address, timeoutMs, initializer) -> new Bootstrap().group(loop)
+                .channel(NioSocketChannel.class)
+                .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, timeoutMs)
+                .option(ChannelOption.TCP_NODELAY, true)
+                .handler(tls == null ? initializer : secured(site, initializer))
+                .connect(address);
+    }
+
+    private ChannelHandler secured(String site, ChannelInitializer<Channel> above) {
+        return new ChannelInitializer<>() {
+            @Override
+            protected void initChannel(Channel made) {
+                made.pipeline().addLast(tls.client(made, site), above);
+            }
+        };
+    }
+
+    /** Where a gateway listens for clients, and where for other sites. */
+    public record Doors(InetSocketAddress clients, InetSocketAddress sites) { }
+
+    /**
+     * Begins with the list of servers as it was last known, and listens for clients and for other sites; on
+     * its loop. The future is told on the loop, with an {@link IOException} where listening fails.
+     */
+    public CompletableFuture<Doors> start(Directory source, List<Target> known, InetSocketAddress listen) {
+        note(ListKind.CACHED, known);
+        own.start(source, known);
+        CompletableFuture<Doors> started = new CompletableFuture<>();
+        ChannelFuture forSites = linkFront.listen();
+        ChannelFuture forClients = frontend.listen(loop, listen);
+        forSites.addListener(done -> forClients.addListener(also -> {
+            Throwable cause = done.isSuccess() ? also.cause() : done.cause();
+            if (cause != null) {
+                started.completeExceptionally(new IOException("listening failed: " + cause.getMessage()));
+                return;
+            }
+            frontend.ready();
+            if (tls != null) {
+                loop.scheduleWithFixedDelay(this::refresh, REFRESH_S, REFRESH_S, TimeUnit.SECONDS);
+            }
+            Doors doors = new Doors((InetSocketAddress) forClients.channel().localAddress(),
+                    (InetSocketAddress) forSites.channel().localAddress());
+            log.info("started", "", "clients at " + doors.clients + ", sites at " + doors.sites);
+            started.complete(doors);
+        }));
+        return started;
+    }
+
+    private void refresh() {
+        try {
+            if (tls.refresh()) {
+                log.info("certificates", "", "new ones are taken for new connections");
+            }
+        } catch (IOException e) {
+            log.warn("certificates", "", e.getMessage());
+        }
+    }
+
+    /** News of the list of the own site's servers. */
+    public void listed(ListKind kind, List<Target> targets) {
+        note(kind, targets);
+        own.listed(kind, targets);
+    }
+
+    private void note(ListKind kind, List<Target> targets) {
+        if (kind == ListKind.FULL) {
+            servers.clear();
+        }
+        targets.forEach(target -> servers.put(target.uid(), target.state()));
+        servers.values().removeIf(State.GONE::equals);
+        if (kind != ListKind.FAILED && !servers.containsValue(State.READY)) {
+            ownSite.noneReady(System.nanoTime());
+        }
+    }
+
+    /** Where it stands, for whoever shows it: counts by name. */
+    public Map<String, Long> counts() {
+        Dispatcher.Counts counts = dispatcher.counts();
+        Map<String, Long> shown = new LinkedHashMap<>();
+        shown.put("asked", counts.asked);
+        shown.put("served", counts.served);
+        shown.put("refused", counts.refused);
+        shown.put("failed", counts.failed);
+        shown.put("crossed", counts.crossed);
+        shown.put("crossed_served", counts.crossedServed);
+        shown.put("by_link", counts.byLink);
+        shown.put("open", (long) dispatcher.open());
+        shown.put("links_up", others.values().stream().mapToLong(FarSite::gatewaysUp).sum());
+        shown.put("repeats", linkFront.repeats());
+        shown.put("remembered", (long) linkFront.remembered());
+        shown.put("remembered_bytes", linkFront.rememberedBytes());
+        return shown;
+    }
+
+    /** Whether nothing is open any more. */
+    public boolean idle() {
+        return dispatcher.open() == 0 && own.idle();
+    }
+
+    /** From now on answers end their connections. */
+    public void drain() {
+        frontend.drain();
+    }
+
+    /** Ends the listening and the links; what is open there ends with them. */
+    public void close() {
+        frontend.close();
+        linkFront.close();
+        others.values().forEach(FarSite::close);
+    }
+}
--- /dev/null
+++ b/src/main/java/pondridge/gateway/GatewaySettings.java
@@ -0,0 +1,135 @@
+package pondridge.gateway;
+
+import io.netty.util.NetUtil;
+import java.net.InetAddress;
+import java.net.InetSocketAddress;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import pondridge.http2.Http2Options;
+import pondridge.settings.Section;
+import pondridge.settings.SettingsFile;
+import pondridge.transport.TransportSettings;
+
+/**
+ * What a gateway is set to, besides what a sidecar is; times in nanoseconds.
+ *
+ * @param site this site's name, as its certificates name it
+ * @param platform the file with what a sidecar is told: listening, discovery, classes, rules
+ * @param link how links are
+ * @param crossing how much may cross, and when
+ * @param sites the other sites' gateways, by the site's name
+ * @param upstreams how the own site's servers are spoken to
+ */
+public record GatewaySettings(String site, Path platform, Link link, Crossing crossing,
+        Map<String, List<InetSocketAddress>> sites, TransportSettings upstreams) {
+    /**
+     * The link.
+     *
+     * @param listen where other sites' gateways come in
+     * @param tls the certificates; null for plain text, on loopback only
+     * @param beat how often each gateway of another site is asked for a stamp and its credit
+     * @param stall the shortest silence that counts as a stall
+     * @param stallFactor how many usual round trips of silence are a stall, where that is more
+     * @param freshness what has been on its way for longer is dropped at the other end
+     * @param streams requests at a time on one connection that comes in
+     * @param connections that may come in
+     * @param credit requests at a time that are taken from one other site
+     * @param answers remembered answers to keyed requests
+     * @param answerBytes of all of them
+     * @param http2 the connections that go out
+     */
+    public record Link(InetSocketAddress listen, Tls tls, long beat, long stall, double stallFactor,
+            long freshness, int streams, int connections, int credit, int answers, int answerBytes,
+            Http2Options http2) { }
+
+    /** Files with certificates in PEM: the own chain, its key in PKCS 8, and whom to trust. */
+    public record Tls(Path certificate, Path key, Path authorities) { }
+
+    /**
+     * What may cross.
+     *
+     * @param perSecond requests in a second
+     * @param burst at once
+     * @param share of all that clients ask
+     * @param leastWork what must be left of a request's time to be of use to a server
+     * @param own how the own site is judged
+     */
+    record Crossing(double perSecond, double burst, double share, long leastWork, OwnSite.Limits own) { }
+
+    /** Reads a whole file; any mistake is a {@link pondridge.settings.SettingsException}. */
+    public static GatewaySettings read(Path path) {
+        SettingsFile file = SettingsFile.read(path);
+        GatewaySettings read = of(file, path.toAbsolutePath().getParent());
+        file.finish();
+        return read;
+    }
+
+    /** Paths in it are taken from this folder. */
+    public static GatewaySettings of(SettingsFile file, Path folder) {
+        Section gateway = file.section("gateway");
+        String site = gateway.text("site", null);
+        Path platform = folder.resolve(gateway.text("platform", null));
+        Section crossing = file.section("crossing");
+        Crossing limits = new Crossing(crossing.fraction("per_second", 200, 0, 1e6),
+                crossing.fraction("burst", 200, 1, 1e6), crossing.fraction("share", 1, 0, 1),
+                crossing.time("least_work", "10ms", "1ms", "10s"),
+                new OwnSite.Limits(crossing.number("misses", 5, 1, 1000),
+                        crossing.time("trial", "200ms", "10ms", "1min"),
+                        crossing.time("steady", "1s", "10ms", "10min"),
+                        crossing.fraction("return_share", 0.05, 0.001, 1),
+                        crossing.time("doubling", "1s", "10ms", "10min")));
+        Map<String, List<InetSocketAddress>> sites = new LinkedHashMap<>();
+        file.section("sites").sections().forEach((name, section) -> {
+            if (name.equals(site)) {
+                throw section.contradiction("gateways", "this is the own site");
+            }
+            List<InetSocketAddress> addresses = new ArrayList<>();
+            for (String each : section.texts("gateways")) {
+                addresses.add(address(section, "gateways", each));
+            }
+            if (addresses.isEmpty()) {
+                throw section.contradiction("gateways", "expected at least one address");
+            }
+            sites.put(name, addresses);
+        });
+        return new GatewaySettings(site, platform, link(file, folder), limits, sites,
+                TransportSettings.of(file));
+    }
+
+    private static Link link(SettingsFile file, Path folder) {
+        Section section = file.section("link");
+        InetSocketAddress listen = address(section, "listen", section.text("listen", null));
+        boolean plain = "plain".equals(section.word("security", "mutual-tls",
+                List.of("mutual-tls", "plain")));
+        if (plain && !listen.getAddress().isLoopbackAddress()) {
+            throw section.contradiction("security", "plain text is for loopback addresses only");
+        }
+        Tls tls = plain ? null : new Tls(folder.resolve(section.text("certificate", null)),
+                folder.resolve(section.text("key", null)), folder.resolve(section.text("authorities", null)));
+        long beat = section.time("beat", "50ms", "5ms", "10s");
+        long freshness = section.time("freshness", "400ms", "20ms", "10s");
+        if (freshness < 2 * beat) {
+            throw section.contradiction("freshness", "less than two beats: stamps would be too old");
+        }
+        return new Link(listen, tls, beat, section.time("stall", "150ms", "5ms", "10s"),
+                section.fraction("stall_factor", 4, 1, 100), freshness,
+                section.number("streams", 200, 1, 10_000), section.number("connections", 64, 1, 10_000),
+                section.number("credit", 400, 1, 100_000), section.number("answers", 20_000, 1, 10_000_000),
+                section.size("answer_bytes", "16MiB", "1KiB", "1024MiB"),
+                Http2Options.of(file.section("link_http2")));
+    }
+
+    private static InetSocketAddress address(Section section, String key, String text) {
+        int colon = text.lastIndexOf(':');
+        InetAddress host = colon < 0 ? null
+                : NetUtil.createInetAddressFromIpAddressString(text.substring(0, colon));
+        try {
+            return new InetSocketAddress(host, Integer.parseInt(text.substring(colon + 1)));
+        } catch (IllegalArgumentException e) {
+            throw section.contradiction(key, "expected an address and a port, found \"" + text + '"');
+        }
+    }
+}
--- /dev/null
+++ b/src/main/java/pondridge/gateway/LinkTls.java
@@ -0,0 +1,124 @@
+package pondridge.gateway;
+
+import io.netty.channel.Channel;
+import io.netty.handler.codec.http2.Http2SecurityUtil;
+import io.netty.handler.ssl.ApplicationProtocolConfig;
+import io.netty.handler.ssl.ApplicationProtocolConfig.Protocol;
+import io.netty.handler.ssl.ApplicationProtocolConfig.SelectedListenerFailureBehavior;
+import io.netty.handler.ssl.ApplicationProtocolConfig.SelectorFailureBehavior;
+import io.netty.handler.ssl.ApplicationProtocolNames;
+import io.netty.handler.ssl.ClientAuth;
+import io.netty.handler.ssl.SslContext;
+import io.netty.handler.ssl.SslContextBuilder;
+import io.netty.handler.ssl.SslHandler;
+import io.netty.handler.ssl.SslProvider;
+import io.netty.handler.ssl.SupportedCipherSuiteFilter;
+import java.io.IOException;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.nio.file.attribute.FileTime;
+import java.security.cert.Certificate;
+import java.security.cert.CertificateParsingException;
+import java.security.cert.X509Certificate;
+import java.util.ArrayList;
+import java.util.Collection;
+import java.util.List;
+import java.util.concurrent.TimeUnit;
+import javax.net.ssl.SSLException;
+import javax.net.ssl.SSLParameters;
+import javax.net.ssl.SSLPeerUnverifiedException;
+
+/**
+ * Mutual TLS for links, by the JDK's own provider. Both ends show a certificate that an authority of the
+ * settings has issued; the one that connects checks that it names the site it wants (RFC 6125, as a DNS
+ * name), the other reads from it which site has come. Contexts are made anew when a file has changed; a file
+ * that can't be used changes nothing. Safe on any thread.
+ */
+final class LinkTls {
+    private static final long HANDSHAKE_MS = 2_000;
+
+    private record Contexts(SslContext client, SslContext server, List<FileTime> changed) { }
+
+    private final GatewaySettings.Tls files;
+    private volatile Contexts contexts;
+
+    /** Reads the files; throws {@link IOException} that says which can't be used. */
+    LinkTls(GatewaySettings.Tls files) throws IOException {
+        this.files = files;
+        this.contexts = make();
+    }
+
+    private List<FileTime> changed() throws IOException {
+        List<FileTime> times = new ArrayList<>();
+        for (Path file : List.of(files.certificate(), files.key(), files.authorities())) {
+            times.add(Files.getLastModifiedTime(file));
+        }
+        return times;
+    }
+
+    private Contexts make() throws IOException {
+        List<FileTime> times = changed();
+        try {
+            return new Contexts(
+                    common(SslContextBuilder.forClient()
+                            .keyManager(files.certificate().toFile(), files.key().toFile())).build(),
+                    common(SslContextBuilder.forServer(files.certificate().toFile(), files.key().toFile()))
+                            .clientAuth(ClientAuth.REQUIRE).build(),
+                    times);
+        } catch (SSLException | IllegalArgumentException e) {
+            throw new IOException("certificates " + files + " can't be used: " + e.getMessage(), e);
+        }
+    }
+
+    private SslContextBuilder common(SslContextBuilder builder) {
+        return builder.sslProvider(SslProvider.JDK).trustManager(files.authorities().toFile())
+                .protocols("TLSv1.3", "TLSv1.2")
+                .ciphers(Http2SecurityUtil.CIPHERS, SupportedCipherSuiteFilter.INSTANCE)
+                .applicationProtocolConfig(new ApplicationProtocolConfig(Protocol.ALPN,
+                        SelectorFailureBehavior.NO_ADVERTISE, SelectedListenerFailureBehavior.ACCEPT,
+                        ApplicationProtocolNames.HTTP_2));
+    }
+
+    /** Takes changed files over for connections made from now on; true if there were any. */
+    boolean refresh() throws IOException {
+        if (changed().equals(contexts.changed)) {
+            return false;
+        }
+        contexts = make();
+        return true;
+    }
+
+    /** For a connection to a gateway of this site. */
+    SslHandler client(Channel channel, String site) {
+        SslHandler handler = contexts.client.newHandler(channel.alloc(), site, 0);
+        SSLParameters parameters = handler.engine().getSSLParameters();
+        parameters.setEndpointIdentificationAlgorithm("HTTPS");
+        handler.engine().setSSLParameters(parameters);
+        handler.setHandshakeTimeout(HANDSHAKE_MS, TimeUnit.MILLISECONDS);
+        return handler;
+    }
+
+    /** For a connection that has come in. */
+    SslHandler server(Channel channel) {
+        SslHandler handler = contexts.server.newHandler(channel.alloc());
+        handler.setHandshakeTimeout(HANDSHAKE_MS, TimeUnit.MILLISECONDS);
+        return handler;
+    }
+
+    /** Whether the peer's certificate names this site; after the handshake. */
+    static boolean names(SslHandler handler, String site) {
+        try {
+            for (Certificate each : handler.engine().getSession().getPeerCertificates()) {
+                if (each instanceof X509Certificate leaf) {
+                    Collection<List<?>> names = leaf.getSubjectAlternativeNames();
+                    // 2 is a DNS name (RFC 5280, section 4.2.1.6); the first certificate is the peer's own.
+                    return names != null && names.stream()
+                            .anyMatch(name -> name.get(0).equals(2) && name.get(1).equals(site));
+                }
+            }
+        } catch (SSLPeerUnverifiedException | CertificateParsingException e) {
+            return false;
+        }
+        return false;
+    }
+}
--- a/src/main/java/pondridge/gateway/Router.java
+++ b/src/main/java/pondridge/gateway/Router.java
@@ -15,7 +15,7 @@
  */
 final class Router {
     /** The next step. */
-    sealed interface Step permits Own, Across, Refuse, Fail { }
+    sealed interface Step permits Own, Across, Wait, Refuse, Fail { }
 
     /** To the own servers, for so long. */
     record Own(long left) implements Step { }
@@ -29,6 +29,12 @@
      */
     record Across(String site, long left, long window) implements Step { }
 
+    /**
+     * Asked again after so long: it may have run, its repeat is allowed, and no way to it is there just now.
+     * A link that has broken comes up again within some beats.
+     */
+    record Wait(long delay) implements Step { }
+
     /** The final answer: trying again is harmless. */
     record Refuse() implements Step { }
 
@@ -38,8 +44,13 @@
     /** Another site as it is seen from here; {@code credit} is how many more it takes just now. */
     record Site(LinkTimes link, boolean up, int credit) { }
 
-    /** A request goes to the own site once, and to another one twice: there by another of its gateways. */
+    /**
+     * A request goes to the own site once, and to another one twice, there by another of its gateways; once
+     * more after each wait.
+     */
     private static final int MOST_ACROSS = 2;
+    private static final int MOST_WAITS = 4;
+    private static final long FIRST_WAIT = 50_000_000;
     private final String own;
     private final OwnSite ownSite;
     private final CrossingBudget budget;
@@ -101,7 +112,26 @@
             }
         }
         boolean harmless = trail.doubt() == null || kind.semantics() == Semantics.REPEATABLE;
-        return harmless ? new Refuse() : new Fail();
+        if (harmless) {
+            return new Refuse();
+        }
+        long delay = FIRST_WAIT << trail.waits();
+        if (!trail.byLink() && trail.waits() < MOST_WAITS && mayCrossLater(now + delay, kind, deadline, trail,
+                sites)) {
+            trail.waited();
+            return new Wait(delay);
+        }
+        return new Fail();
+    }
+
+    private boolean mayCrossLater(long then, RequestClass kind, long deadline, Trail trail,
+            Map<String, Site> sites) {
+        return sites.entrySet().stream().anyMatch(each -> {
+            long trip = each.getValue().link.estimate();
+            return trail.timesAt(each.getKey()) <= MOST_ACROSS + trail.waits()
+                    && deadline - then - trip > leastWork
+                    && allowed(then, kind, trail, each.getKey(), trip + freshness);
+        });
     }
 
     /** The nearest site that may and can take it; its crossing is then paid for. */
@@ -112,7 +142,7 @@
             Site site = each.getValue();
             long trip = site.link.estimate();
             if (site.up && site.credit > 0 && !site.link.stalled(now) && left - trip > leastWork
-                    && trail.timesAt(each.getKey()) < MOST_ACROSS && trip < shortest
+                    && trail.timesAt(each.getKey()) < MOST_ACROSS + trail.waits() && trip < shortest
                     && allowed(now, kind, trail, each.getKey(), trip + freshness)) {
                 nearest = each.getKey();
                 shortest = trip;
--- a/src/main/java/pondridge/gateway/Trail.java
+++ b/src/main/java/pondridge/gateway/Trail.java
@@ -24,6 +24,7 @@
 
     private final List<Sending> sendings = new ArrayList<>(2);
     private final boolean byLink;
+    private int waits;
 
     /** A trail's begin; {@code byLink} says that the request came from another site. */
     Trail(boolean byLink) {
@@ -40,6 +41,16 @@
         sendings.get(sendings.size() - 1).neverRan = neverRan;
     }
 
+    /** How often it has waited for a way to be there. */
+    int waits() {
+        return waits;
+    }
+
+    /** It waits once more. */
+    void waited() {
+        waits++;
+    }
+
     boolean byLink() {
         return byLink;
     }
--- a/src/main/java/pondridge/http1/Frontend.java
+++ b/src/main/java/pondridge/http1/Frontend.java
@@ -47,14 +47,13 @@
 import java.util.List;
 import java.util.Set;
 import java.util.concurrent.TimeUnit;
-import pondridge.Balancer.RequestClass;
-import pondridge.Balancer.Semantics;
 import pondridge.Options;
 import pondridge.core.Answer;
 import pondridge.core.Client;
-import pondridge.core.Engine;
 import pondridge.core.Headers;
 import pondridge.core.Job;
+import pondridge.core.JobReader;
+import pondridge.core.Requests;
 
 /**
  * The application's side: reads requests, answers each once, and tells malformed ones so itself. A client
@@ -63,8 +62,6 @@
  */
 public final class Frontend {
     private static final int LARGEST_BODY = 1 << 16;
-    private static final int LONGEST_ID = 128;
-    private static final String KEY = "Idempotency-Key";
     /** From the connecting, on a used connection from the request's first byte, to its last one. */
     private static final long REQUEST_TIME = 2_500_000_000L;
     /** Clients keep connections; one that is not used for so long is not missed. */
@@ -85,10 +82,8 @@
 
     private record Past(String id, long at) { }
 
-    private final Engine engine;
-    private final List<RequestClass> classes;
-    private final List<String> classNames;
-    private final List<String> tenantNames;
+    private final Requests engine;
+    private final JobReader reader;
     private final int mostConnections;
     private final Set<Connection> connections = new LinkedHashSet<>();
     private final Set<String> ids = new HashSet<>();
@@ -98,11 +93,9 @@
     private Channel server;
 
     /** A front that takes at most {@code mostConnections} clients at once. */
-    public Frontend(Engine engine, Options options, int mostConnections) {
+    public Frontend(Requests engine, Options options, int mostConnections) {
         this.engine = engine;
-        this.classes = options.settings().classes();
-        this.classNames = options.names("profiles");
-        this.tenantNames = options.names("parties");
+        this.reader = new JobReader(options);
         this.mostConnections = mostConnections;
     }
 
@@ -302,11 +295,11 @@
             keepAlive = HttpUtil.isKeepAlive(head);
             job = null;
             body = new ByteArrayOutputStream(0);
-            String path = path(head.uri());
+            String path = JobReader.path(head.uri());
             try {
                 framed(head);
                 if (path.equals("/api") || path.startsWith("/api/")) {
-                    job = job(head, path);
+                    job = reader.read(head.method(), head.uri(), head.headers());
                     id = head.headers().get("Req-Id");
                 } else if (!path.equals("/up")) {
                     reject(HttpResponseStatus.NOT_FOUND, "no such path");
@@ -463,11 +456,6 @@
         return response;
     }
 
-    private static String path(String uri) {
-        int query = uri.indexOf('?');
-        return query < 0 ? uri : uri.substring(0, query);
-    }
-
     /** Rejects what two readers could take for requests of different lengths. */
     private static void framed(HttpRequest message) {
         HttpHeaders headers = message.headers();
@@ -483,68 +471,11 @@
             throw new IllegalArgumentException("path can't be read");
         }
         for (String name : headers.names()) {
-            boolean once = name.regionMatches(true, 0, "Req-", 0, 4) || name.equalsIgnoreCase(KEY)
+            boolean once = name.regionMatches(true, 0, "Req-", 0, 4) || name.equalsIgnoreCase(JobReader.KEY)
                     || name.equalsIgnoreCase("Host");
             if (once && headers.getAll(name).size() > 1) {
                 throw new IllegalArgumentException("repeated " + name);
             }
         }
     }
-
-    private Job job(HttpRequest message, String path) {
-        if (header(message, "Req-Id").length() > LONGEST_ID) {
-            throw new IllegalArgumentException("Req-Id too long");
-        }
-        int kind = classNames.indexOf(header(message, "Req-Kind"));
-        if (kind < 0) {
-            throw new IllegalArgumentException("unknown Req-Kind");
-        }
-        int tenant = 0;
-        if (!tenantNames.isEmpty()) {
-            tenant = tenantNames.indexOf(header(message, "Req-Owner"));
-            if (tenant < 0) {
-                throw new IllegalArgumentException("unknown Req-Owner");
-            }
-        }
-        String idempotencyKey = message.headers().get(KEY);
-        Semantics semantics = classes.get(kind).semantics();
-        HttpMethod method = semantics == Semantics.REPEATABLE ? HttpMethod.GET : HttpMethod.POST;
-        if (!message.method().equals(method)
-                || (semantics == Semantics.BY_KEY) != (idempotencyKey != null && !idempotencyKey.isEmpty())) {
-            throw new IllegalArgumentException("method or Idempotency-Key does not fit the class");
-        }
-        // Nobody waits for longer than the class allows, whatever the header says.
-        long wait = Math.min(number(message, "Req-Deadline-Ms"), classes.get(kind).deadline() / 1_000_000);
-        long cost = message.headers().contains("Req-Cost") ? number(message, "Req-Cost") * 1000 : 0;
-        return new Job(kind, tenant, key(path), wait, cost,
-                "1".equals(message.headers().get("Req-Retry")), method, message.uri(), message.headers(),
-                new byte[0]);
-    }
-
-    private static String header(HttpRequest message, String name) {
-        String value = message.headers().get(name);
-        if (value == null || value.isEmpty()) {
-            throw new IllegalArgumentException("missing " + name);
-        }
-        return value;
-    }
-
-    /** A whole number that is neither negative nor longer than any wait or work can be. */
-    private static long number(HttpRequest message, String name) {
-        String value = header(message, name);
-        if (value.length() > 9 || !value.chars().allMatch(digit -> digit >= '0' && digit <= '9')) {
-            throw new IllegalArgumentException("not a whole number: " + name);
-        }
-        return Long.parseLong(value);
-    }
-
-    /** What the request is about, as a number: the same for the same last part of the path, 0 for none. */
-    private static long key(String path) {
-        String last = path.substring(path.lastIndexOf('/') + 1);
-        long key = 0;
-        for (int i = 0; i < last.length(); i++) {
-            key = key * 0x100000001b3L + last.charAt(i);
-        }
-        return key;
-    }
 }
--- a/src/main/java/pondridge/http2/Dialler.java
+++ b/src/main/java/pondridge/http2/Dialler.java
@@ -5,9 +5,9 @@
 import io.netty.channel.ChannelInitializer;
 import java.net.InetSocketAddress;
 
-/** Opens sockets; a seam, so that a test can play a connection's turns one by one. */
+/** Opens sockets; a seam, so that a link can put TLS below and a test can play a connection's turns. */
 @FunctionalInterface
-interface Dialler {
+public interface Dialler {
     /**
      * Begins to connect. The initializer runs within the call; the future is told on the event loop.
      *
--- a/src/main/java/pondridge/http2/Http2Upstreams.java
+++ b/src/main/java/pondridge/http2/Http2Upstreams.java
@@ -54,6 +54,11 @@
         this(loop, settings, options, Proof.RFC9113, 1);
     }
 
+    /** The same on sockets that are opened elsewhere, perhaps with something below HTTP/2. */
+    public Http2Upstreams(EventLoop loop, Options settings, Http2Options options, Dialler dialler) {
+        this(loop, settings, options, Proof.RFC9113, 1, dialler);
+    }
+
     /** With other rules of proof and another first stream: for tests. */
     Http2Upstreams(EventLoop loop, Options settings, Http2Options options, Proof proof, int firstStream) {
         this(loop, settings, options, proof, firstStream, (address, timeoutMs, initializer) ->
--- a/src/main/java/pondridge/settings/Section.java
+++ b/src/main/java/pondridge/settings/Section.java
@@ -1,7 +1,9 @@
 package pondridge.settings;
 
 import com.fasterxml.jackson.databind.JsonNode;
+import java.util.ArrayList;
 import java.util.HashSet;
+import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
@@ -21,6 +23,7 @@
     private final String name;
     private final JsonNode node;
     private final Set<String> known = new HashSet<>();
+    private final List<Section> children = new ArrayList<>();
 
     Section(String file, String name, JsonNode node) {
         this.file = file;
@@ -62,6 +65,63 @@
         return value.asText();
     }
 
+    /** A number with or without a fraction. */
+    public double fraction(String key, double absent, double least, double most) {
+        JsonNode value = value(key);
+        if (value.isMissingNode()) {
+            return absent;
+        }
+        if (!value.isNumber() || !(value.asDouble() >= least && value.asDouble() <= most)) {
+            throw wrong(key, "a number from " + least + " to " + most, value);
+        }
+        return value.asDouble();
+    }
+
+    /** A text that is not empty; {@code absent} null makes it required. */
+    public String text(String key, String absent) {
+        JsonNode value = value(key);
+        if (value.isMissingNode() && absent != null) {
+            return absent;
+        }
+        if (!value.isTextual() || value.asText().isEmpty()) {
+            throw wrong(key, "a text", value);
+        }
+        return value.asText();
+    }
+
+    /** Texts, none of them empty; an empty list where the key is missing. */
+    public List<String> texts(String key) {
+        JsonNode value = value(key);
+        List<String> texts = new ArrayList<>();
+        if (value.isMissingNode()) {
+            return texts;
+        }
+        for (JsonNode each : value) {
+            if (!each.isTextual() || each.asText().isEmpty()) {
+                throw wrong(key, "a list of texts", value);
+            }
+            texts.add(each.asText());
+        }
+        if (!value.isArray()) {
+            throw wrong(key, "a list of texts", value);
+        }
+        return texts;
+    }
+
+    /** The sections within this one, by name; nothing else may stand in it. */
+    public Map<String, Section> sections() {
+        Map<String, Section> inner = new LinkedHashMap<>();
+        node.properties().forEach(field -> {
+            known.add(field.getKey());
+            if (!field.getValue().isObject()) {
+                throw wrong(field.getKey(), "a section", field.getValue());
+            }
+            inner.put(field.getKey(), new Section(file, name + '.' + field.getKey(), field.getValue()));
+        });
+        children.addAll(inner.values());
+        return inner;
+    }
+
     /** A mistake that only several values together show. */
     public SettingsException contradiction(String key, String problem) {
         return new SettingsException(file, name + "." + key, problem);
@@ -97,6 +157,7 @@
     }
 
     void finish() {
+        children.forEach(Section::finish);
         for (String key : (Iterable<String>) node::fieldNames) {
             if (!known.contains(key)) {
                 throw contradiction(key, "unknown key");
--- a/src/main/java/pondridge/sidecar/Main.java
+++ b/src/main/java/pondridge/sidecar/Main.java
@@ -4,6 +4,8 @@
 import io.netty.channel.EventLoop;
 import io.netty.channel.MultiThreadIoEventLoopGroup;
 import io.netty.channel.nio.NioIoHandler;
+import io.netty.util.internal.logging.InternalLoggerFactory;
+import io.netty.util.internal.logging.JdkLoggerFactory;
 import java.io.IOException;
 import java.lang.reflect.Proxy;
 import java.net.InetSocketAddress;
@@ -38,6 +40,8 @@
      * configuration ends it with one line and exit status 2.
      */
     public static void main(String[] args) {
+        // Else netty would find and load the logging of the gateway's, which the sidecar does not use.
+        InternalLoggerFactory.setDefaultFactory(JdkLoggerFactory.INSTANCE);
         String file = System.getenv("PROXY_CONFIG");
         CompletableFuture<Consumer<Config>> running = new CompletableFuture<>();
         reloadAtSighup(file, running);
--- a/src/main/java/pondridge/standin/EffectLedger.java
+++ b/src/main/java/pondridge/standin/EffectLedger.java
@@ -61,6 +61,11 @@
             this.key = key;
             this.deadline = deadline;
         }
+
+        /** 0 served, 1 refused, 2 failed. */
+        int outcome() {
+            return status == 200 ? 0 : status == 429 || status == 503 ? 1 : 2;
+        }
     }
 
     private final long slack;
@@ -165,6 +170,21 @@
         return (int) entries.values().stream().filter(entry -> entry.answers > 0).count();
     }
 
+    /** What has come of the requests of one class. */
+    public record Tally(int asked, int served, int refused, int failed) { }
+
+    /** What has come of this class so far. */
+    public synchronized Tally tally(String kind) {
+        int[] count = new int[4];
+        for (Entry entry : entries.values()) {
+            if (entry.kind.name().equals(kind)) {
+                count[3]++;
+                count[entry.outcome()] += entry.answers > 0 ? 1 : 0;
+            }
+        }
+        return new Tally(count[3], count[0], count[1], count[2]);
+    }
+
     /** How often requests of this class have run. */
     public synchronized int runs(String kind) {
         return entries.values().stream().filter(entry -> entry.kind.name().equals(kind))
@@ -181,7 +201,7 @@
     public synchronized Verdict verdict() {
         int[] count = new int[9];
         for (Entry entry : entries.values()) {
-            int kind = entry.status == 200 ? 0 : entry.status == 429 || entry.status == 503 ? 1 : 2;
+            int kind = entry.outcome();
             count[entry.answers == 0 ? 3 : kind]++;
             count[4] += entry.late ? 1 : 0;
             count[5] += entry.answers > 1 ? 1 : 0;
--- a/src/main/java/pondridge/standin/FaultyLink.java
+++ b/src/main/java/pondridge/standin/FaultyLink.java
@@ -61,7 +61,7 @@
     private record Piece(ByteBuf bytes, long due) { }
 
     private final EventLoop loop;
-    private final InetSocketAddress target;
+    private volatile InetSocketAddress target;
     private final Random random;
     private final Channel listener;
     private final Set<Pump> pumps = new HashSet<>();
@@ -92,6 +92,11 @@
         return (InetSocketAddress) listener.localAddress();
     }
 
+    /** From now on connections go there. */
+    public void target(InetSocketAddress address) {
+        target = address;
+    }
+
     /** Sets how a direction is from now on. */
     public void set(Way way, Condition condition) {
         loop.submit(() -> {
@@ -150,8 +155,10 @@
     }
 
     private static void abort(Channel channel) {
-        channel.config().setOption(ChannelOption.SO_LINGER, 0);
-        channel.close();
+        if (channel.isOpen()) {
+            channel.config().setOption(ChannelOption.SO_LINGER, 0);
+            channel.close();
+        }
     }
 
     /** Carries one direction of one connection. */
@@ -169,6 +176,8 @@
             this.from = from;
             this.way = way;
             pumps.add(this);
+            // Also where a connection never came up.
+            from.closeFuture().addListener(closed -> pumps.remove(this));
         }
 
         private Condition condition() {
@@ -228,12 +237,15 @@
         }
 
         private void reset() {
+            dead = true;
+            held.forEach(piece -> piece.bytes.release());
+            held.clear();
+            heldBytes = 0;
             abort(from);
         }
 
         @Override
         public void channelInactive(ChannelHandlerContext context) {
-            pumps.remove(this);
             ended = true;
             if (to != null && !dead) {
                 loop.schedule(this::go, condition().delay, TimeUnit.NANOSECONDS);
--- a/src/test/java/pondridge/RoomsTest.java
+++ b/src/test/java/pondridge/RoomsTest.java
@@ -23,6 +23,7 @@
             .layer("transport").definedBy("pondridge.transport")
             .layer("gateway").definedBy("pondridge.gateway")
             .layer("standin").definedBy("pondridge.standin")
+            .layer("demo").definedBy("pondridge.demo")
             .layer("sidecar").definedBy("pondridge.sidecar")
             .layer("cli").definedBy("pondridge.cli")
             .whereLayer("adapter").mayNotBeAccessedByAnyLayer()
@@ -34,8 +35,9 @@
             .whereLayer("transport").mayOnlyAccessLayers("module", "core", "settings", "http1", "http2")
             .whereLayer("gateway").mayOnlyAccessLayers("module", "core", "settings", "http1", "http2",
                     "transport")
+            .whereLayer("demo").mayOnlyBeAccessedByLayers("cli")
             .whereLayer("standin").mayNotAccessAnyLayer()
-            .whereLayer("standin").mayOnlyBeAccessedByLayers("cli")
+            .whereLayer("standin").mayOnlyBeAccessedByLayers("cli", "demo")
             .whereLayer("sidecar").mayOnlyAccessLayers("module", "core", "http1", "transport")
             .whereLayer("sidecar").mayNotBeAccessedByAnyLayer()
             .whereLayer("cli").mayNotBeAccessedByAnyLayer();
@@ -48,7 +50,8 @@
     /** Names of the deciding classes of all rooms; a new one is added here. */
     private static final String DECIDING =
             ".*\\.(StreamTable|Proof|Liveness|ResetBudget|FloodGuard|ProtocolChoice|ColdStart|Router|Trail"
-            + "|LinkTimes|Pool|SharedRoom|CrossingBudget|OwnSite)";
+            + "|LinkTimes|Pool|SharedRoom|CrossingBudget|OwnSite"
+            + "|Stamps|AnswerMemory|CreditControl|Log.LineBudget)";
 
     @ArchTest
     static final ArchRule DECIDERS = noClasses().that().haveNameMatching(DECIDING).should()
--- a/src/test/java/pondridge/gateway/RouterTest.java
+++ b/src/test/java/pondridge/gateway/RouterTest.java
@@ -76,6 +76,10 @@
                 assertTrue(now <= deadline, "answered in time");
                 return step;
             }
+            if (step instanceof Router.Wait wait) {
+                now += wait.delay();
+                continue;
+            }
             boolean across = step instanceof Router.Across;
             String at = step instanceof Router.Across over ? over.site() : "a";
             long left = step instanceof Router.Across over ? over.left() : ((Router.Own) step).left();
@@ -136,6 +140,19 @@
         here.sent("a", 0);
         here.ended(false);
         assertInstanceOf(Router.Fail.class, router.next(MS, HOLD, SECOND, here, sites));
+        Map<String, Router.Site> down = Map.of("b", site(40 * MS, false, 0));
+        Trail broken = new Trail(false);
+        broken.sent("b", 0);
+        broken.ended(false);
+        broken.sent("a", 0);
+        broken.ended(true);
+        for (long waited = 0, i = 0; i < 4; i++) {
+            Router.Wait wait = assertInstanceOf(Router.Wait.class,
+                    router.next(MS + waited, CONFIRM, 5 * SECOND, broken, down));
+            waited += wait.delay();
+        }
+        assertInstanceOf(Router.Fail.class, router.next(SECOND, CONFIRM, 5 * SECOND, broken, down),
+                "no longer than that");
         Trail there = new Trail(false);
         there.sent("b", 0);
         there.ended(false);
--- /dev/null
+++ b/src/test/java/pondridge/gateway/SitesTest.java
@@ -0,0 +1,186 @@
+package pondridge.gateway;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.util.List;
+import java.util.Map;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.TimeUnit;
+import org.junit.jupiter.api.Test;
+import pondridge.Balancer.State;
+import pondridge.demo.Sites;
+import pondridge.demo.Usual;
+import pondridge.http2.Direct;
+import pondridge.rig.Fleet;
+import pondridge.standin.EffectLedger.Verdict;
+import pondridge.standin.FaultyLink;
+import pondridge.standin.StandinServer;
+
+/** Two and three sites with servers, gateways and faulty links; each case ends by asking the ledger. */
+class SitesTest {
+    private static final long MS = 1_000_000;
+    private static final int WAIT_MS = 3_000;
+    private static final long SEED = Long.getLong("seed", 20261201);
+    private static final String PLAIN = "security = \"plain\"\n";
+
+    private static Sites sites(int gateways, long delay, String settings, String... names) throws Exception {
+        return sites(gateways, 5 * MS, delay, settings, names);
+    }
+
+    private static Sites sites(int gateways, long work, long delay, String settings, String... names)
+            throws Exception {
+        System.out.println("sites seed " + SEED);
+        return new Sites(new Sites.Shape(List.of(names), 4, gateways, work, delay, delay / 4, settings),
+                Usual.options(WAIT_MS), SEED, site -> PLAIN);
+    }
+
+    private static Verdict verdict(Sites sites, CompletableFuture<Void> load) throws Exception {
+        load.get(Fleet.LIMIT_S, TimeUnit.SECONDS);
+        assertTrue(sites.quiet(Fleet.LIMIT_S * 1_000), "requests that never end");
+        Verdict verdict = sites.ledger().verdict();
+        System.out.println(verdict);
+        assertTrue(verdict.clean(), verdict::toString);
+        return verdict;
+    }
+
+    /** With no server of its own a site is served by the other one, every class of request. */
+    @Test
+    void aSiteWithoutServersIsServedByTheOther() throws Exception {
+        try (Sites sites = sites(2, 20 * MS, "", "a", "b")) {
+            sites.site("a").list(State.DRAINING);
+            Verdict verdict = verdict(sites, sites.load("a", SEED).start(Fleet.mixed(400, 100, WAIT_MS)));
+            assertTrue(verdict.served() > 300, verdict::toString);
+            assertEquals(0, sites.site("a").servers().stream().mapToInt(each -> each.runs()).sum());
+            assertTrue(sites.site("a").count("crossed") >= verdict.served());
+            assertEquals(0, sites.site("b").count("crossed"), "what came by a link leaves by none");
+        }
+    }
+
+    private static long runs(Sites sites, String site) {
+        return sites.site(site).servers().stream().mapToLong(StandinServer::runs).sum();
+    }
+
+    private static CompletableFuture<Void> only(Sites sites, String site, String kind, int count,
+            double rate) {
+        return sites.load(site, SEED).start(Fleet.plan(count, rate, WAIT_MS, Map.of(kind, 1.0)));
+    }
+
+    /** The links to b do as told once the gateways of a know them. */
+    private static void ready(Sites sites, String from) throws Exception {
+        Direct.until(() -> sites.site(from).count("links_up") > 0, "a link");
+    }
+
+    /**
+     * The link stalls, open and silent, with confirmations and holds across it, and heals later than any of
+     * them can wait: what arrives then is too old, and nothing has its effect a second time.
+     */
+    @Test
+    void aStalledLinkThatHealsLateDoublesNothing() throws Exception {
+        try (Sites sites = sites(2, 20 * MS, "", "a", "b")) {
+            ready(sites, "a");
+            sites.site("a").cut(true);
+            sites.site("a").list(State.DRAINING);
+            CompletableFuture<Void> confirms = only(sites, "a", "order-confirm", 200, 400);
+            CompletableFuture<Void> holds = sites.load("a", SEED + 1).start(
+                    Fleet.plan(200, 400, WAIT_MS, Map.of("stock-hold", 1.0)));
+            Direct.until(() -> sites.site("b").count("by_link") > 60, "requests across");
+            FaultyLink.Condition link = FaultyLink.Condition.delayed(20 * MS, 5 * MS);
+            sites.site("b").links().forEach(each -> each.set(link.stalled(true)));
+            Direct.until(() -> sites.site("a").count("links_up") == 0, "the stall is seen");
+            confirms.get(Fleet.LIMIT_S, TimeUnit.SECONDS);
+            sites.site("b").links().forEach(each -> each.set(link));
+            Direct.until(() -> sites.site("a").count("links_up") > 0, "the healing is seen");
+            Verdict verdict = verdict(sites, holds);
+            assertTrue(verdict.served() > 0 && verdict.refused() + verdict.failed() > 0, verdict::toString);
+        }
+    }
+
+    /** Each direction of the links is lost by itself; a confirmation then goes the other way round. */
+    @Test
+    void oneDirectionLost() throws Exception {
+        for (FaultyLink.Way way : FaultyLink.Way.values()) {
+            try (Sites sites = sites(2, 20 * MS, "", "a", "b")) {
+                ready(sites, "a");
+                sites.site("a").list(State.DRAINING);
+                CompletableFuture<Void> load = sites.load("a", SEED).start(Fleet.mixed(400, 200, WAIT_MS));
+                Direct.until(() -> sites.site("b").count("by_link") > 40, "requests across");
+                FaultyLink.Condition link = FaultyLink.Condition.delayed(20 * MS, 5 * MS);
+                sites.site("b").links().get(0).set(way, link.lost(true));
+                Verdict verdict = verdict(sites, load);
+                assertTrue(verdict.served() > 200, "the other gateway serves: " + verdict);
+            }
+        }
+    }
+
+    /** An answer is lost on the way back; the repeat gets the same one, by this gateway or by a server. */
+    @Test
+    void aLostAnswerIsGivenAgainAndNotMadeAgain() throws Exception {
+        try (Sites sites = sites(1, 60 * MS, 10 * MS, "", "a", "b")) {
+            ready(sites, "a");
+            sites.site("a").list(State.DRAINING);
+            CompletableFuture<Void> load = only(sites, "a", "order-confirm", 300, 150);
+            FaultyLink link = sites.site("b").links().get(0);
+            for (int i = 0; i < 8; i++) {
+                Direct.until(() -> load.isDone() || sites.site("b").count("open") > 1, "requests at work");
+                // They have arrived; their answers are lost with the connection.
+                link.reset();
+            }
+            Verdict verdict = verdict(sites, load);
+            assertTrue(verdict.served() > 200, verdict::toString);
+            assertTrue(sites.site("b").count("repeats") + verdict.dropped() > 0, "repeats came: " + verdict);
+        }
+    }
+
+    /** The own site is cut and the link stalls at once: an answer for each before its deadline. */
+    @Test
+    void cutAndStalledAtOnce() throws Exception {
+        try (Sites sites = sites(2, 20 * MS, "", "a", "b")) {
+            ready(sites, "a");
+            CompletableFuture<Void> load = sites.load("a", SEED).start(Fleet.mixed(600, 200, WAIT_MS));
+            Direct.until(() -> runs(sites, "a") > 100, "the own site serves");
+            sites.site("a").stall(true);
+            sites.site("b").links().forEach(each ->
+                    each.set(FaultyLink.Condition.delayed(20 * MS, 0).stalled(true)));
+            Verdict verdict = verdict(sites, load);
+            assertTrue(verdict.served() > 50, verdict::toString);
+            assertTrue(verdict.refused() + verdict.failed() > 100, verdict::toString);
+        }
+    }
+
+    /** Up and down every 300 ms: no storm, nothing twice, and no more across than the budget allows. */
+    @Test
+    void flappingLinks() throws Exception {
+        String budget = "[crossing]\nper_second = 50\nburst = 25\n";
+        try (Sites sites = sites(2, 10 * MS, budget, "a", "b")) {
+            ready(sites, "a");
+            sites.site("a").list(State.DRAINING);
+            long began = System.nanoTime();
+            CompletableFuture<Void> load = sites.load("a", SEED).start(Fleet.mixed(1_200, 200, WAIT_MS));
+            FaultyLink.Condition link = FaultyLink.Condition.delayed(10 * MS, 2 * MS);
+            for (boolean down = true; !load.isDone(); down = !down) {
+                boolean stalled = down;
+                sites.site("b").links().forEach(each -> each.set(link.stalled(stalled)));
+                load.copy().completeOnTimeout(null, 300, TimeUnit.MILLISECONDS).join();
+            }
+            long seconds = (System.nanoTime() - began) / 1_000_000_000 + 1;
+            Verdict verdict = verdict(sites, load);
+            assertTrue(sites.site("a").count("crossed") <= 2 * (25 + 50 * seconds),
+                    "the budget of two gateways");
+            assertTrue(verdict.served() > 50, verdict::toString);
+        }
+    }
+
+    /** Three sites, one of them cut: the others share its requests and send none on. */
+    @Test
+    void threeSitesShareAndMakeNoLoop() throws Exception {
+        try (Sites sites = sites(1, 10 * MS, "credit = 4\n", "a", "b", "c")) {
+            ready(sites, "a");
+            Direct.until(() -> sites.site("a").count("links_up") == 2, "both links");
+            sites.site("a").list(State.DRAINING);
+            Verdict verdict = verdict(sites, sites.load("a", SEED).start(Fleet.mixed(600, 300, WAIT_MS)));
+            assertTrue(runs(sites, "b") > 50 && runs(sites, "c") > 50, "both share: " + verdict);
+            assertEquals(0, sites.site("b").count("crossed") + sites.site("c").count("crossed"));
+        }
+    }
+}
--- a/src/test/java/pondridge/http2/Direct.java
+++ b/src/test/java/pondridge/http2/Direct.java
@@ -26,7 +26,7 @@
 import pondridge.standin.StandinServer;
 
 /** The transport by itself, with servers and without an engine: each attempt's outcome comes to a queue. */
-final class Direct implements AutoCloseable {
+public final class Direct implements AutoCloseable {
     static final long LONG = 60_000_000_000L;
 
     /** How an attempt ended, and after how long. */
@@ -108,7 +108,7 @@
     }
 
     /** Waits for something that is on its way to become so. */
-    static void until(BooleanSupplier holds, String what) throws InterruptedException {
+    public static void until(BooleanSupplier holds, String what) throws InterruptedException {
         long limit = System.nanoTime() + TimeUnit.SECONDS.toNanos(Stub.LIMIT_S);
         while (!holds.getAsBoolean()) {
             if (System.nanoTime() - limit > 0) {
