Move configuration and discovery to pondridge.platform

Need: the gateway is told the same by the platform as the sidecar, and the sidecar's room may not be used by others. Change: git mv and visibility, no behaviour. Result: the sidecar's, discovery's and the rooms' tests are green.

--- a/src/main/java/pondridge/sidecar/Config.java
+++ b/src/main/java/pondridge/platform/Config.java
@@ -1,4 +1,4 @@
-package pondridge.sidecar;
+package pondridge.platform;
 
 import com.fasterxml.jackson.core.JsonProcessingException;
 import com.fasterxml.jackson.databind.JsonNode;
@@ -14,12 +14,13 @@
 import pondridge.core.Json;
 
 /** What one sidecar is told at its start; a mistake is an exception whose message names the key. */
-record Config(String name, InetSocketAddress listen, InetSocketAddress discovery, long seed, int sockets,
-        Discovery.Listing known, Options options) {
+public record Config(String name, InetSocketAddress listen, InetSocketAddress discovery, long seed,
+        int sockets, Discovery.Listing known, Options options) {
     private static final int FEWEST_SOCKETS = 64;
     private static final int RESERVED = 40;
 
-    static Config read(Path file) throws IOException {
+    /** Reads a file. */
+    public static Config read(Path file) throws IOException {
         try {
             return of(Json.MAPPER.readTree(Files.readAllBytes(file)));
         } catch (JsonProcessingException e) {
@@ -27,7 +28,8 @@
         }
     }
 
-    static Config of(JsonNode root) {
+    /** Takes over what a file holds. */
+    public static Config of(JsonNode root) {
         JsonNode settings = root.path("settings");
         if (!settings.isObject()) {
             throw new IllegalArgumentException("missing: settings");
@@ -47,12 +49,12 @@
     }
 
     /** Of the descriptors: clients may need a third for requests at once, and some are on their way out. */
-    int mostClients() {
+    public int mostClients() {
         return sockets * 3 / 8;
     }
 
     /** The rest, but for what the JVM, the listening and discovery hold. */
-    int mostUpstream() {
+    public int mostUpstream() {
         return Math.max(sockets / 4, sockets - mostClients() - RESERVED);
     }
 
@@ -73,7 +75,7 @@
     }
 
     /** A numeric address and port, or null; names are never looked up, since there is no DNS. */
-    static InetSocketAddress parseAddress(String text) {
+    public static InetSocketAddress parseAddress(String text) {
         int colon = text.lastIndexOf(':');
         InetAddress host = colon < 0 ? null : NetUtil.createInetAddressFromIpAddressString(
                 text.substring(0, colon));
--- a/src/main/java/pondridge/sidecar/Discovery.java
+++ b/src/main/java/pondridge/platform/Discovery.java
@@ -1,4 +1,4 @@
-package pondridge.sidecar;
+package pondridge.platform;
 
 import com.fasterxml.jackson.databind.JsonNode;
 import io.netty.bootstrap.Bootstrap;
@@ -38,7 +38,7 @@
 import pondridge.core.Target;
 
 /** Asks discovery for the list: a watch on its changes, or the whole once. The module decides when. */
-final class Discovery implements Directory {
+public final class Discovery implements Directory {
     /** A call waits for up to 2 s and empty lines come every 2 s: longer silence is a break. */
     private static final long SILENCE_MS = 5_000;
     private static final int CONNECT_TIMEOUT_MS = 1_000;
@@ -64,10 +64,11 @@
     }
 
     /** A list or a change of it. */
-    record Listing(long rev, boolean all, List<Target> targets) {
-        static final Listing NONE = new Listing(0, true, List.of());
+    public record Listing(long rev, boolean all, List<Target> targets) {
+        public static final Listing NONE = new Listing(0, true, List.of());
 
-        static Listing of(JsonNode node) {
+        /** Reads one; entries that make no sense are passed over. */
+        public static Listing of(JsonNode node) {
             List<Target> targets = new ArrayList<>();
             for (JsonNode each : node.path("targets")) {
                 Target target = target(each);
@@ -89,7 +90,7 @@
     private Call watch;
 
     /** Tells {@code listener} of each answer and each failure, on the loop. */
-    Discovery(EventLoop loop, InetSocketAddress address, long rev,
+    public Discovery(EventLoop loop, InetSocketAddress address, long rev,
             BiConsumer<ListKind, List<Target>> listener) {
         this.loop = loop;
         this.address = address;
@@ -116,7 +117,7 @@
      * out begin again at the new one. Its versions need not follow on from the old one's, so its whole list
      * is asked for.
      */
-    void move(InetSocketAddress to) {
+    public void move(InetSocketAddress to) {
         if (to.equals(address)) {
             return;
         }
--- a/src/main/java/pondridge/sidecar/Main.java
+++ b/src/main/java/pondridge/sidecar/Main.java
@@ -19,6 +19,8 @@
 import pondridge.core.Transport;
 import pondridge.http1.Frontend;
 import pondridge.http1.Upstreams;
+import pondridge.platform.Config;
+import pondridge.platform.Discovery;
 import pondridge.transport.MixedUpstreams;
 import pondridge.transport.TransportSettings;
 
--- a/src/test/java/pondridge/RoomsTest.java
+++ b/src/test/java/pondridge/RoomsTest.java
@@ -23,6 +23,7 @@
             .layer("transport").definedBy("pondridge.transport")
             .layer("gateway").definedBy("pondridge.gateway")
             .layer("standin").definedBy("pondridge.standin")
+            .layer("platform").definedBy("pondridge.platform")
             .layer("demo").definedBy("pondridge.demo")
             .layer("sidecar").definedBy("pondridge.sidecar")
             .layer("cli").definedBy("pondridge.cli")
@@ -38,7 +39,8 @@
             .whereLayer("demo").mayOnlyBeAccessedByLayers("cli")
             .whereLayer("standin").mayNotAccessAnyLayer()
             .whereLayer("standin").mayOnlyBeAccessedByLayers("cli", "demo")
-            .whereLayer("sidecar").mayOnlyAccessLayers("module", "core", "http1", "transport")
+            .whereLayer("platform").mayOnlyAccessLayers("module", "core")
+            .whereLayer("sidecar").mayOnlyAccessLayers("module", "core", "http1", "platform", "transport")
             .whereLayer("sidecar").mayNotBeAccessedByAnyLayer()
             .whereLayer("cli").mayNotBeAccessedByAnyLayer();
 
--- a/src/test/java/pondridge/sidecar/Bed.java
+++ b/src/test/java/pondridge/sidecar/Bed.java
@@ -17,6 +17,8 @@
 import pondridge.http1.Frontend;
 import pondridge.http1.Stub;
 import pondridge.http1.Upstreams;
+import pondridge.platform.Config;
+import pondridge.platform.Discovery;
 
 /** A sidecar in this process, with its upstreams known from the start, and a client for it. */
 final class Bed implements AutoCloseable {
--- a/src/test/java/pondridge/sidecar/ConfigTest.java
+++ b/src/test/java/pondridge/sidecar/ConfigTest.java
@@ -10,6 +10,7 @@
 import org.junit.jupiter.api.Test;
 import pondridge.Balancer.Semantics;
 import pondridge.Balancer.Settings;
+import pondridge.platform.Config;
 
 /** The configuration, and the settings in it as the module is told them. */
 class ConfigTest {
--- a/src/test/java/pondridge/sidecar/DiscoveryTest.java
+++ b/src/test/java/pondridge/sidecar/DiscoveryTest.java
@@ -16,6 +16,7 @@
 import pondridge.Balancer.State;
 import pondridge.core.Target;
 import pondridge.http1.Stub;
+import pondridge.platform.Discovery;
 
 /** The list and its watch against a discovery that answers in awkward ways. */
 class DiscoveryTest {
