--- a/src/main/java/pondridge/cli/Check.java
+++ b/src/main/java/pondridge/cli/Check.java
@@ -7,6 +7,7 @@
 import picocli.CommandLine.Model.CommandSpec;
 import picocli.CommandLine.Parameters;
 import picocli.CommandLine.Spec;
+import pondridge.settings.SettingsFile;
 import pondridge.transport.TransportSettings;
 
 /** Reads a settings file as a start would, and starts nothing. */
@@ -20,6 +21,12 @@
 
     @Override
     public Integer call() {
+        if (SettingsFile.read(file).has("gateway")) {
+            GatewayCommand.Told told = GatewayCommand.Told.read(file);
+            spec.commandLine().getOut().println(file + ": good, a gateway of site " + told.settings().site()
+                    + " with " + told.settings().sites().size() + " other site(s)");
+            return CommandLine.ExitCode.OK;
+        }
         TransportSettings read = TransportSettings.read(file);
         spec.commandLine().getOut().println(file + ": good, upstreams speak " + read.protocol());
         return CommandLine.ExitCode.OK;
--- a/src/main/java/pondridge/demo/Sites.java
+++ b/src/main/java/pondridge/demo/Sites.java
@@ -4,13 +4,16 @@
 import io.netty.channel.MultiThreadIoEventLoopGroup;
 import io.netty.channel.nio.NioIoHandler;
 import java.io.IOException;
+import java.lang.management.ManagementFactory;
 import java.net.InetAddress;
 import java.net.InetSocketAddress;
 import java.nio.file.Path;
 import java.util.ArrayList;
+import java.util.HashSet;
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.Set;
 import java.util.concurrent.Callable;
 import java.util.concurrent.ExecutionException;
 import java.util.concurrent.TimeUnit;
@@ -65,6 +68,7 @@
         private final List<Gateway> gateways = new ArrayList<>();
         private final List<EventLoop> loops = new ArrayList<>();
         private final List<InetSocketAddress> doors = new ArrayList<>();
+        private final Set<Integer> dead = new HashSet<>();
 
         private Site(String name) {
             this.name = name;
@@ -90,7 +94,12 @@
 
         /** Cuts the servers off: what is out to them is reset and nothing new is taken; or heals that. */
         public void cut(boolean on) {
-            for (FaultyLink wire : wires) {
+            cut(on, wires.size());
+        }
+
+        /** The same for some of them, the first ones. */
+        public void cut(boolean on, int first) {
+            for (FaultyLink wire : wires.subList(0, first)) {
                 wire.refuse(on);
                 if (on) {
                     wire.reset();
@@ -123,12 +132,30 @@
             return targets;
         }
 
+        /** Ends a gateway as a process is killed: all its connections end, and what it knew is gone. */
+        public void kill(int number) {
+            loops.get(number).shutdownGracefully(0, 0, TimeUnit.SECONDS).syncUninterruptibly();
+            dead.add(number);
+        }
+
+        /** Starts a new gateway in a killed one's place, for other sites; its clients' door is a new one. */
+        public void restart(int number) throws IOException {
+            start(this, number);
+            dead.remove(number);
+        }
+
+        /** What the processor has spent on its gateways' loops, in nanoseconds. */
+        public double cpuNanos() {
+            return loops.stream().mapToDouble(loop ->
+                    on(loop, () -> ManagementFactory.getThreadMXBean().getCurrentThreadCpuTime())).sum();
+        }
+
         /** A count of all its gateways together, by its name in {@link Gateway#counts}. */
         public long count(String of) {
             long sum = 0;
             for (int i = 0; i < gateways.size(); i++) {
                 Gateway gateway = gateways.get(i);
-                sum += on(loops.get(i), () -> gateway.counts().get(of));
+                sum += dead.contains(i) ? 0 : on(loops.get(i), () -> gateway.counts().get(of));
             }
             return sum;
         }
@@ -136,13 +163,17 @@
         private boolean idle() {
             boolean idle = true;
             for (int i = 0; i < gateways.size(); i++) {
-                idle &= on(loops.get(i), gateways.get(i)::idle);
+                idle &= dead.contains(i) || on(loops.get(i), gateways.get(i)::idle);
             }
             return idle;
         }
     }
 
+    private final Shape shape;
+    private final Function<String, String> security;
+    private final long seed;
     private final MultiThreadIoEventLoopGroup group;
+    private final List<MultiThreadIoEventLoopGroup> gatewayLoops = new ArrayList<>();
     private final EventLoop serving;
     private final EventLoop linking;
     private final EventLoop asking;
@@ -159,10 +190,12 @@
      */
     public Sites(Shape shape, Options options, long seed, Function<String, String> security)
             throws IOException {
+        this.shape = shape;
+        this.security = security;
+        this.seed = seed;
         this.options = options;
         this.ledger = new EffectLedger(500 * MS, (long) options.number("rules.stopSendingWithin", 2e9));
-        this.group = new MultiThreadIoEventLoopGroup(3 + shape.names.size() * shape.gateways,
-                NioIoHandler.newFactory());
+        this.group = new MultiThreadIoEventLoopGroup(3, NioIoHandler.newFactory());
         this.serving = group.next();
         this.linking = group.next();
         this.asking = group.next();
@@ -185,7 +218,7 @@
             }
             for (Site site : sites.values()) {
                 for (int i = 0; i < shape.gateways; i++) {
-                    start(site, i, shape, seed, security.apply(site.name));
+                    start(site, i);
                 }
             }
         } catch (IOException | RuntimeException e) {
@@ -194,9 +227,10 @@
         }
     }
 
-    private void start(Site site, int number, Shape shape, long seed, String security) throws IOException {
+    private void start(Site site, int number) throws IOException {
         StringBuilder text = new StringBuilder("[gateway]\nsite = \"" + site.name
-                + "\"\nplatform = \"-\"\n[link]\nlisten = \"127.0.0.1:0\"\n" + security + shape.settings);
+                + "\"\nplatform = \"-\"\n[link]\nlisten = \"127.0.0.1:0\"\n" + security.apply(site.name)
+                + shape.settings);
         for (Site other : sites.values()) {
             if (other != site) {
                 text.append("\n[sites.").append(other.name).append("]\ngateways = [");
@@ -208,7 +242,9 @@
         SettingsFile file = SettingsFile.parse(site.name, text.toString());
         GatewaySettings settings = GatewaySettings.of(file, Path.of("."));
         file.finish();
-        EventLoop loop = group.next();
+        MultiThreadIoEventLoopGroup its = new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory());
+        gatewayLoops.add(its);
+        EventLoop loop = its.next();
         try {
             Gateway gateway = loop.submit(() -> new Gateway(loop, options, settings,
                     new Upstreams(loop, options, MOST), seed + number, MOST)).get();
@@ -220,9 +256,14 @@
                 public void fetch() { }
             }, site.targets(State.READY), local())).get().get(LIMIT_S, TimeUnit.SECONDS);
             site.links.get(number).target(doors.sites());
-            site.gateways.add(gateway);
-            site.loops.add(loop);
-            site.doors.add(doors.clients());
+            if (number < site.gateways.size()) {
+                site.gateways.set(number, gateway);
+                site.loops.set(number, loop);
+            } else {
+                site.gateways.add(gateway);
+                site.loops.add(loop);
+                site.doors.add(doors.clients());
+            }
         } catch (ExecutionException | TimeoutException | InterruptedException e) {
             throw new IOException("gateway of " + site.name + ": " + e.getMessage(), e);
         }
@@ -267,15 +308,18 @@
         for (Site site : sites.values()) {
             for (int i = 0; i < site.gateways.size(); i++) {
                 Gateway gateway = site.gateways.get(i);
-                on(site.loops.get(i), () -> {
-                    gateway.close();
-                    return null;
-                });
+                if (!site.dead.contains(i)) {
+                    on(site.loops.get(i), () -> {
+                        gateway.close();
+                        return null;
+                    });
+                }
             }
             site.servers.forEach(StandinServer::close);
             site.wires.forEach(FaultyLink::close);
             site.links.forEach(FaultyLink::close);
         }
+        gatewayLoops.forEach(each -> each.shutdownGracefully(0, 2, TimeUnit.SECONDS));
         group.shutdownGracefully(0, 2, TimeUnit.SECONDS).syncUninterruptibly();
     }
 }
--- a/src/main/java/pondridge/gateway/Gateway.java
+++ b/src/main/java/pondridge/gateway/Gateway.java
@@ -183,8 +183,9 @@
         return dispatcher.open() == 0 && own.idle();
     }
 
-    /** From now on answers end their connections. */
+    /** From now on answers end their connections, and other sites' new requests are turned away unseen. */
     public void drain() {
+        linkFront.drain();
         frontend.drain();
     }
 
--- a/src/main/java/pondridge/gateway/LinkFront.java
+++ b/src/main/java/pondridge/gateway/LinkFront.java
@@ -68,6 +68,7 @@
     private final Map<String, CreditControl> credits = new HashMap<>();
     private int connections;
     private long repeats;
+    private boolean draining;
     private Channel server;
 
     LinkFront(EventLoop loop, GatewaySettings.Link link, LinkTls tls, Set<String> sites,
@@ -164,6 +165,11 @@
         return memory.bytes();
     }
 
+    /** From now on new requests are turned away unseen, and beats bring no credit. */
+    void drain() {
+        draining = true;
+    }
+
     void close() {
         server.close();
     }
@@ -198,6 +204,8 @@
                 turnAway("loop", "a request has come by " + headers.get(LinkHeaders.HOPS) + " links");
             } else if (!stamps.fresh(headers.get(LinkHeaders.STAMP), now)) {
                 turnAway("stale", "a request was on its way for too long");
+            } else if (draining) {
+                turnAway("draining", "this gateway is about to end");
             } else if (!credit(site).take()) {
                 turnAway("credit", "no more requests are taken just now");
             } else {
@@ -323,7 +331,7 @@
             HttpUtil.setContentLength(response, response.content().readableBytes());
             response.headers().set(LinkHeaders.VERSION, LinkHeaders.SPOKEN)
                     .set(LinkHeaders.STAMP, stamps.issue(now))
-                    .set(LinkHeaders.CREDIT, credit(site).credit());
+                    .set(LinkHeaders.CREDIT, draining ? 0 : credit(site).credit());
             stream.writeAndFlush(response);
         }
 
--- a/src/test/java/pondridge/bench/Bench.java
+++ b/src/test/java/pondridge/bench/Bench.java
@@ -8,8 +8,9 @@
     public static void main(String[] args) throws Exception {
         switch (args.length == 1 ? args[0] : "") {
             case "http2" -> new Http2Bench().run();
+            case "gateway" -> new GatewayBench().run();
             default -> {
-                System.err.println("bench: expected -Dbench=http2");
+                System.err.println("bench: expected -Dbench=http2 or gateway");
                 System.exit(2);
             }
         }
--- /dev/null
+++ b/src/test/java/pondridge/bench/GatewayBench.java
@@ -0,0 +1,122 @@
+package pondridge.bench;
+
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.TimeUnit;
+import org.HdrHistogram.Histogram;
+import pondridge.Balancer.State;
+import pondridge.demo.Sites;
+import pondridge.demo.Usual;
+import pondridge.rig.Fleet;
+import pondridge.standin.EffectLedger.Tally;
+import pondridge.standin.EffectLedger.Verdict;
+import pondridge.standin.OpenLoad;
+
+/**
+ * A site that is cut from its servers for some seconds: with a gateway to another site, without one, and as
+ * if all servers were one pool. Then what a crossing costs. Ratios within this one run are what counts.
+ */
+final class GatewayBench {
+    private static final long MS = 1_000_000;
+    private static final int WAIT_MS = 2_000;
+    private static final int RATE = 200;
+    private static final int SERVERS = 4;
+    private static final long CALM_MS = 5_000;
+    private static final long CUT_MS = 6_000;
+    private static final long HEALED_MS = 9_000;
+    private static final Map<String, Double> SHARES = new LinkedHashMap<>(Map.of("stock-check", 0.4,
+            "stock-hold", 0.25, "order-confirm", 0.25, "order-book", 0.1));
+    private static final Map<String, Double> WORTH =
+            Map.of("stock-check", 1.0, "stock-hold", 3.0, "order-confirm", 10.0, "order-book", 10.0);
+
+    private static Sites sites(int servers, long delay, String... names) throws Exception {
+        return new Sites(new Sites.Shape(List.of(names), servers, 1, 5 * MS, delay, delay / 4, ""),
+                Usual.options(WAIT_MS), 1, site -> "security = \"plain\"\n");
+    }
+
+    private static double[] worth(Sites sites) {
+        double[] sum = new double[2];
+        WORTH.forEach((kind, worth) -> {
+            Tally tally = sites.ledger().tally(kind);
+            sum[0] += worth * tally.asked();
+            sum[1] += worth * tally.served();
+        });
+        return sum;
+    }
+
+    private static void pass(CompletableFuture<Void> load, long millis) {
+        load.copy().completeOnTimeout(null, millis, TimeUnit.MILLISECONDS).join();
+    }
+
+    /** The share of worth that is served while half of all servers are cut off. */
+    private static double cut(String way, Sites sites, double rate, int cutServers) throws Exception {
+        try (sites) {
+            OpenLoad load = sites.load("a", 1);
+            int requests = (int) (rate * (CALM_MS + CUT_MS + HEALED_MS) / 1_000);
+            CompletableFuture<Void> done = load.start(Fleet.plan(requests, rate, WAIT_MS, SHARES));
+            pass(done, CALM_MS);
+            double[] before = worth(sites);
+            sites.site("a").cut(true, cutServers);
+            pass(done, CUT_MS);
+            double[] after = worth(sites);
+            sites.site("a").cut(false, cutServers);
+            long healed = System.nanoTime();
+            long crossed = sites.site("a").count("crossed");
+            long recovered = 0;
+            while (!done.isDone()) {
+                pass(done, 50);
+                long now = sites.site("a").count("crossed");
+                recovered = now > crossed ? System.nanoTime() - healed : recovered;
+                crossed = now;
+            }
+            Verdict verdict = sites.ledger().verdict();
+            double share = (after[1] - before[1]) / (after[0] - before[0]);
+            System.out.printf("bench gateway: way=%s worth_while_cut=%.3f served=%d refused=%d failed=%d "
+                    + "crossed=%d recovered_ms=%d doubled=%d late=%d clean=%s%n", way, share,
+                    verdict.served(), verdict.refused(), verdict.failed(), crossed, recovered / MS, verdict.doubled(),
+                    verdict.late(), verdict.clean());
+            return share;
+        }
+    }
+
+    /** What the link adds to a request's time over its own delay, and a gateway's CPU. */
+    private static void crossing(long delayMs) throws Exception {
+        try (Sites sites = sites(SERVERS, delayMs * MS, "a", "b")) {
+            Histogram[] took = new Histogram[2];
+            double[] cpu = new double[4];
+            for (int i = 0; i < 2; i++) {
+                if (i == 1) {
+                    sites.site("a").list(State.DRAINING);
+                }
+                // What comes first warms up and is not counted.
+                sites.load("a", 10 + i).start(Fleet.plan(3 * RATE, RATE, WAIT_MS, SHARES)).join();
+                double[] before = {sites.site("a").cpuNanos(), sites.site("b").cpuNanos()};
+                OpenLoad load = sites.load("a", 20 + i);
+                load.start(Fleet.plan(8 * RATE, RATE, WAIT_MS, SHARES)).join();
+                took[i] = new Histogram(60_000_000_000L, 3);
+                load.served().values().forEach(took[i]::add);
+                cpu[2 * i] = (sites.site("a").cpuNanos() - before[0]) / (8e3 * RATE);
+                cpu[2 * i + 1] = (sites.site("b").cpuNanos() - before[1]) / (8e3 * RATE);
+            }
+            System.out.printf("bench gateway: way=crossing delay_ms=%d own_p50_us=%d own_p99_us=%d "
+                    + "across_p50_us=%d across_p99_us=%d added_over_link_p50_us=%d near_cpu_us_own=%.0f "
+                    + "near_cpu_us_across=%.0f far_cpu_us_idle=%.0f far_cpu_us=%.0f%n", delayMs,
+                    took[0].getValueAtPercentile(50) / 1_000, took[0].getValueAtPercentile(99) / 1_000,
+                    took[1].getValueAtPercentile(50) / 1_000, took[1].getValueAtPercentile(99) / 1_000,
+                    (took[1].getValueAtPercentile(50) - took[0].getValueAtPercentile(50)) / 1_000
+                            - 2_250 * delayMs, cpu[0], cpu[2], cpu[1], cpu[3]);
+        }
+    }
+
+    void run() throws Exception {
+        double ideal = cut("one-pool", sites(2 * SERVERS, 0, "a"), 2 * RATE, SERVERS);
+        double without = cut("without", sites(SERVERS, 0, "a"), RATE, SERVERS);
+        double with = cut("with", sites(SERVERS, 20 * MS, "a", "b"), RATE, SERVERS);
+        System.out.printf("bench gateway: with_to_ideal=%.3f without_to_ideal=%.3f%n", with / ideal,
+                without / ideal);
+        crossing(20);
+        crossing(80);
+    }
+}
--- a/src/test/java/pondridge/cli/BankflowTest.java
+++ b/src/test/java/pondridge/cli/BankflowTest.java
@@ -32,6 +32,7 @@
     @Test
     void goodSettingsAreGood() {
         assertEquals("", errors(0, "check", "deploy/bankflow.toml"));
+        assertEquals("", errors(0, "check", "deploy/gateway.toml"));
     }
 
     @Test
@@ -56,6 +57,17 @@
         assertTrue(errors(2, "check", folder.resolve("none").toString()).contains("can't be read"));
     }
 
+    @Test
+    void aGatewayNeedsAllThatItIsTold() throws Exception {
+        Path file = Files.writeString(folder.resolve("g.toml"), "[gateway]\nsite = \"a\"\n"
+                + "platform = \"none.json\"\n[link]\nlisten = \"127.0.0.1:0\"\nsecurity = \"plain\"\n");
+        for (String[] command : new String[][] {{"check", file.toString()},
+                {"gateway", "--config", file.toString()}}) {
+            assertTrue(errors(2, command).contains("none.json"), command[0]);
+        }
+        assertTrue(errors(2, "demo", "--seconds", "1").contains("--seconds: expected 3 to 600, found 1"));
+    }
+
     @Test
     void standinsListenOnLoopbackOnly() {
         assertTrue(errors(2, "standin", "server", "--protocol", "http2", "--listen", "192.0.2.1:80")
--- a/src/test/java/pondridge/gateway/SitesTest.java
+++ b/src/test/java/pondridge/gateway/SitesTest.java
@@ -183,4 +183,46 @@
             assertEquals(0, sites.site("b").count("crossed") + sites.site("c").count("crossed"));
         }
     }
+
+    /** A far gateway is killed after servers have run what it took, and again: the other one is asked. */
+    @Test
+    void aFarGatewayKilledAfterTheServersRan() throws Exception {
+        try (Sites sites = sites(2, 60 * MS, 10 * MS, "", "a", "b")) {
+            Direct.until(() -> sites.site("a").count("links_up") == 4, "all links");
+            sites.site("a").list(State.DRAINING);
+            CompletableFuture<Void> load = only(sites, "a", "order-confirm", 600, 200);
+            Sites.Site b = sites.site("b");
+            for (int killed = 0; killed < 2; killed++) {
+                Direct.until(() -> load.isDone() || b.count("open") > 5, "requests at work");
+                b.kill(killed);
+                b.restart(killed);
+                Direct.until(() -> sites.site("a").count("links_up") == 4, "links to the new one");
+            }
+            Verdict verdict = verdict(sites, load);
+            assertTrue(verdict.served() > 400, verdict::toString);
+            assertTrue(verdict.dropped() > 0, "what had run was asked again: " + verdict);
+        }
+    }
+
+    /** A near gateway is killed with requests across, then both sites lose one: no effect twice. */
+    @Test
+    void killedNearGatewaysDoubleNothing() throws Exception {
+        try (Sites sites = sites(2, 60 * MS, 10 * MS, "", "a", "b")) {
+            Direct.until(() -> sites.site("a").count("links_up") == 4, "all links");
+            sites.site("a").list(State.DRAINING);
+            CompletableFuture<Void> load = sites.load("a", SEED).start(Fleet.mixed(600, 200, WAIT_MS));
+            Direct.until(() -> sites.site("a").count("served") > 60 && sites.site("b").count("open") > 3,
+                    "requests served, and more at work");
+            sites.site("a").kill(0);
+            Direct.until(() -> sites.site("b").count("open") > 2, "requests of the other one");
+            sites.site("a").kill(1);
+            sites.site("b").kill(0);
+            load.get(Fleet.LIMIT_S, TimeUnit.SECONDS);
+            assertTrue(sites.quiet(Fleet.LIMIT_S * 1_000));
+            Verdict verdict = sites.ledger().verdict();
+            assertEquals(0, verdict.doubled() + verdict.answeredTwice() + verdict.mixedUp()
+                    + verdict.refusedAfterRun() + verdict.late(), verdict::toString);
+            assertTrue(verdict.unanswered() > 0 && verdict.served() > 0, verdict::toString);
+        }
+    }
 }
