Give a far gateway several entries in the module's list

Cause: the module begins with two requests at a time to a server it knows nothing of and learns one more a round trip.

Change: lanes (8 by default) to each far gateway, each learned by itself; one connection pool and one credit behind them.

--- a/src/main/java/pondridge/gateway/FarSite.java
+++ b/src/main/java/pondridge/gateway/FarSite.java
@@ -9,6 +9,7 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.concurrent.TimeUnit;
+import java.util.stream.IntStream;
 import pondridge.Balancer.ListKind;
 import pondridge.Balancer.Outcome;
 import pondridge.Balancer.State;
@@ -54,9 +55,11 @@
             return Math.max(0, credit - transport.inFlight(id));
         }
 
-        private Target target() {
+        /** A gateway stands for many servers: the module has several entries for it. */
+        private List<Target> targets() {
             State state = ready ? State.READY : State.DRAINING;
-            return new Target(name, address, site, "gateway", 0, state, 1, 0);
+            return IntStream.range(0, link.lanes()).mapToObj(lane ->
+                    new Target(name + '/' + lane, address, site, "gateway", 0, state, 1, 0)).toList();
         }
     }
 
@@ -69,7 +72,6 @@
     private final Engine engine;
     private final List<Gateway> gateways = new ArrayList<>();
     private final Future<?> beats;
-    private int listed;
 
     /**
      * A site whose gateways are at these addresses.
@@ -97,13 +99,12 @@
 
             @Override
             public void fetch() { }
-        }, gateways.stream().map(Gateway::target).toList());
+        }, gateways.stream().flatMap(each -> each.targets().stream()).toList());
         this.beats = loop.scheduleWithFixedDelay(this::beat, 0, link.beat(), TimeUnit.NANOSECONDS);
     }
 
-    /** Numbers are given in the order of the list. */
-    private void numbered(long id) {
-        gateways.get(listed++).id = id;
+    private void numbered(InetSocketAddress address, long id) {
+        gateways.stream().filter(each -> each.address.equals(address)).forEach(each -> each.id = id);
     }
 
     /**
@@ -201,7 +202,7 @@
             } else {
                 log.warn("link_down", gateway.name, gateway.missed == 0 ? "stalled" : "no beat comes back");
             }
-            engine.listed(ListKind.DELTA, List.of(gateway.target()));
+            engine.listed(ListKind.DELTA, gateway.targets());
         }
     }
 
--- a/src/main/java/pondridge/gateway/GatewaySettings.java
+++ b/src/main/java/pondridge/gateway/GatewaySettings.java
@@ -5,6 +5,7 @@
 import java.net.InetSocketAddress;
 import java.nio.file.Path;
 import java.util.ArrayList;
+import java.util.HashSet;
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
@@ -37,12 +38,13 @@
      * @param streams requests at a time on one connection that comes in
      * @param connections that may come in
      * @param credit requests at a time that are taken from one other site
+     * @param lanes entries that a far gateway has in the module's list, each with a limit learned by itself
      * @param answers remembered answers to keyed requests
      * @param answerBytes of all of them
      * @param http2 the connections that go out
      */
     public record Link(InetSocketAddress listen, Tls tls, long beat, long stall, double stallFactor,
-            long freshness, int streams, int connections, int credit, int answers, int answerBytes,
+            long freshness, int streams, int connections, int credit, int lanes, int answers, int answerBytes,
             Http2Options http2) { }
 
     /** Files with certificates in PEM: the own chain, its key in PKCS 8, and whom to trust. */
@@ -90,8 +92,8 @@
             for (String each : section.texts("gateways")) {
                 addresses.add(address(section, "gateways", each));
             }
-            if (addresses.isEmpty()) {
-                throw section.contradiction("gateways", "expected at least one address");
+            if (addresses.isEmpty() || new HashSet<>(addresses).size() < addresses.size()) {
+                throw section.contradiction("gateways", "expected at least one address, each once");
             }
             sites.put(name, addresses);
         });
@@ -117,7 +119,8 @@
         return new Link(listen, tls, beat, section.time("stall", "150ms", "5ms", "10s"),
                 section.fraction("stall_factor", 4, 1, 100), freshness,
                 section.number("streams", 200, 1, 10_000), section.number("connections", 64, 1, 10_000),
-                section.number("credit", 400, 1, 100_000), section.number("answers", 20_000, 1, 10_000_000),
+                section.number("credit", 400, 1, 100_000), section.number("lanes", 8, 1, 64),
+                section.number("answers", 20_000, 1, 10_000_000),
                 section.size("answer_bytes", "16MiB", "1KiB", "1024MiB"),
                 Http2Options.of(file.section("link_http2")));
     }
--- a/src/main/java/pondridge/gateway/LinkTransport.java
+++ b/src/main/java/pondridge/gateway/LinkTransport.java
@@ -3,7 +3,7 @@
 import java.net.InetSocketAddress;
 import java.util.HashMap;
 import java.util.Map;
-import java.util.function.LongConsumer;
+import java.util.function.BiConsumer;
 import pondridge.Balancer.Outcome;
 import pondridge.core.Job;
 import pondridge.core.LoadReports;
@@ -16,77 +16,82 @@
  */
 final class LinkTransport implements Transport {
     private final Http2Upstreams way;
-    private final Map<Long, InetSocketAddress> gateways = new HashMap<>();
+    private final Map<InetSocketAddress, Long> gateways = new HashMap<>();
+    /** The gateway that each entry of the module's list stands for; the first entry's number is its own. */
+    private final Map<Long, Long> gatewayOf = new HashMap<>();
     private final Map<Long, String> stamps = new HashMap<>();
     private final Map<Long, Integer> inFlight = new HashMap<>();
-    private final LongConsumer listedNew;
+    private final BiConsumer<InetSocketAddress, Long> listedNew;
 
-    /** {@code listedNew} is told of each gateway that is listed for the first time. */
-    LinkTransport(Http2Upstreams way, LongConsumer listedNew) {
+    /** {@code listedNew} is told of each gateway that is listed for the first time, and its number here. */
+    LinkTransport(Http2Upstreams way, BiConsumer<InetSocketAddress, Long> listedNew) {
         this.way = way;
         this.listedNew = listedNew;
     }
 
     @Override
     public void listed(long upstream, InetSocketAddress address, long startedMs, boolean ready) {
-        if (gateways.putIfAbsent(upstream, address) == null) {
+        if (gatewayOf.containsKey(upstream)) {
+            return;
+        }
+        if (gateways.putIfAbsent(address, upstream) == null) {
             way.listed(upstream, address, startedMs, true);
-            listedNew.accept(upstream);
+            listedNew.accept(address, upstream);
         }
+        gatewayOf.put(upstream, gateways.get(address));
     }
 
     @Override
     public void gone(long upstream) {
-        gateways.remove(upstream);
-        stamps.remove(upstream);
-        way.gone(upstream);
+        // The list of another site's gateways is its settings: none goes while the program runs.
     }
 
     @Override
     public Attempt send(long upstream, Job job, long wait, Listener listener) {
         long left = ((CrossingHeaders) job.headers()).left(System.nanoTime()) / 1_000_000;
-        if (left <= 0 || !stamps.containsKey(upstream)) {
+        long gateway = gatewayOf.get(upstream);
+        if (left <= 0 || !stamps.containsKey(gateway)) {
             listener.ended(Outcome.NEVER_SENT, null, LoadReports.NONE);
             return () -> { };
         }
         // One attempt of a request is on its way at a time, so its headers are this one's.
-        job.headers().set(LinkHeaders.STAMP, stamps.get(upstream)).set(LinkHeaders.LEFT, left);
-        inFlight.merge(upstream, 1, Integer::sum);
-        return way.send(upstream, job, wait, (outcome, answer, load) -> {
-            inFlight.merge(upstream, -1, Integer::sum);
+        job.headers().set(LinkHeaders.STAMP, stamps.get(gateway)).set(LinkHeaders.LEFT, left);
+        inFlight.merge(gateway, 1, Integer::sum);
+        return way.send(gateway, job, wait, (outcome, answer, load) -> {
+            inFlight.merge(gateway, -1, Integer::sum);
             listener.ended(outcome, answer, load);
         });
     }
 
     /** Sends a beat, which is no request: it needs no stamp and counts as nothing in flight. */
-    void beat(long upstream, Job job, long wait, Listener listener) {
-        way.send(upstream, job, wait, listener);
+    void beat(long gateway, Job job, long wait, Listener listener) {
+        way.send(gateway, job, wait, listener);
     }
 
     /** The gateway's newest stamp. */
-    void stamp(long upstream, String stamp) {
-        stamps.put(upstream, stamp);
+    void stamp(long gateway, String stamp) {
+        stamps.put(gateway, stamp);
     }
 
     /** Whether a gateway has given a stamp, without which it takes nothing. */
-    boolean stamped(long upstream) {
-        return stamps.containsKey(upstream);
+    boolean stamped(long gateway) {
+        return stamps.containsKey(gateway);
     }
 
     /** Requests that are out to a gateway. */
-    int inFlight(long upstream) {
-        return inFlight.getOrDefault(upstream, 0);
+    int inFlight(long gateway) {
+        return inFlight.getOrDefault(gateway, 0);
     }
 
     /** Gateways are probed by beats, all the time. */
     @Override
     public void probe(long upstream, Listener listener) {
-        way.probe(upstream, listener);
+        way.probe(gatewayOf.get(upstream), listener);
     }
 
     @Override
     public void closeIdle(long upstream) {
-        way.closeIdle(upstream);
+        way.closeIdle(gatewayOf.get(upstream));
     }
 
     void close() {
--- a/src/test/java/pondridge/bench/GatewayBench.java
+++ b/src/test/java/pondridge/bench/GatewayBench.java
@@ -75,7 +75,8 @@
             double share = (after[1] - before[1]) / (after[0] - before[0]);
             System.out.printf("bench gateway: way=%s worth_while_cut=%.3f served=%d refused=%d failed=%d "
                     + "crossed=%d recovered_ms=%d doubled=%d late=%d clean=%s%n", way, share,
-                    verdict.served(), verdict.refused(), verdict.failed(), crossed, recovered / MS, verdict.doubled(),
+                    verdict.served(), verdict.refused(), verdict.failed(), crossed, recovered / MS,
+                    verdict.doubled(),
                     verdict.late(), verdict.clean());
             return share;
         }
