Begin with a fresh module when a site's gateways come back, and excuse machine pauses

Cause: after a stalled link had healed, 1 of 600 requests was served in 4 s: the module that rules the far gateways had learned from 64 failures on all of them and shed nearly everything.

Change: FarSite begins with a new engine when the first gateway comes back after none was up; the old one ends what it holds. The ledger takes off what a clock-watching thread saw the machine stand still. The rig's link lets go of what it held when its end has closed (a leak that netty reported).

--- a/src/main/java/pondridge/core/Engine.java
+++ b/src/main/java/pondridge/core/Engine.java
@@ -80,6 +80,7 @@
     private final long clockOffset = System.currentTimeMillis() * 1_000_000 - System.nanoTime();
     private Directory directory;
     private boolean telling;
+    private boolean retired;
     private long lastId;
 
     /**
@@ -193,6 +194,11 @@
         }
     }
 
+    /** No more requests will come: what is open still ends, and with it the module's timers. */
+    public void retire() {
+        retired = true;
+    }
+
     /** Whether any request still waits for its answer. */
     public boolean idle() {
         return calls.values().stream().allMatch(call -> call.over);
@@ -276,6 +282,9 @@
 
     @Override
     public void timer(long token, long at) {
+        if (retired && calls.isEmpty()) {
+            return;
+        }
         loop.schedule(() -> tell(now -> rules.timer(now, token)), Math.max(0, at - now()),
                 TimeUnit.NANOSECONDS);
     }
--- a/src/main/java/pondridge/gateway/FarSite.java
+++ b/src/main/java/pondridge/gateway/FarSite.java
@@ -8,7 +8,9 @@
 import java.net.InetSocketAddress;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.Random;
 import java.util.concurrent.TimeUnit;
+import java.util.function.Supplier;
 import java.util.stream.IntStream;
 import pondridge.Balancer.ListKind;
 import pondridge.Balancer.Outcome;
@@ -69,7 +71,8 @@
     private final GatewaySettings.Link link;
     private final Log log;
     private final LinkTransport transport;
-    private final Engine engine;
+    private final Supplier<Engine> engines;
+    private Engine engine;
     private final List<Gateway> gateways = new ArrayList<>();
     private final Future<?> beats;
 
@@ -88,11 +91,25 @@
         this.link = link;
         this.log = log;
         this.transport = new LinkTransport(way, this::numbered);
-        this.engine = new Engine(loop, options, seed, mostOpen, transport);
+        Random seeds = new Random(seed);
+        this.engines = () -> new Engine(loop, options, seeds.nextLong(), mostOpen, transport);
         long now = System.nanoTime();
         for (InetSocketAddress address : addresses) {
             gateways.add(new Gateway(site + '-' + gateways.size(), address, now));
         }
+        begin();
+        this.beats = loop.scheduleWithFixedDelay(this::beat, 0, link.beat(), TimeUnit.NANOSECONDS);
+    }
+
+    /**
+     * Begins with a module that knows nothing. After a time with no gateway at all, what the one before had
+     * learned from failures would keep it from sending for seconds; what it still has open ends there.
+     */
+    private void begin() {
+        if (engine != null) {
+            engine.retire();
+        }
+        engine = engines.get();
         engine.start(new Directory() {
             @Override
             public void watch(boolean on) { }
@@ -100,7 +117,6 @@
             @Override
             public void fetch() { }
         }, gateways.stream().flatMap(each -> each.targets().stream()).toList());
-        this.beats = loop.scheduleWithFixedDelay(this::beat, 0, link.beat(), TimeUnit.NANOSECONDS);
     }
 
     private void numbered(InetSocketAddress address, long id) {
@@ -195,6 +211,7 @@
         boolean ready = gateway.usable(now);
         boolean lost = gateway.missed >= MOST_MISSED || gateway.times.stalled(now);
         if (ready != gateway.ready && (ready || lost)) {
+            boolean first = ready && gatewaysUp() == 0;
             gateway.ready = ready;
             if (ready) {
                 log.info("link_up", gateway.name, "round trip "
@@ -202,7 +219,11 @@
             } else {
                 log.warn("link_down", gateway.name, gateway.missed == 0 ? "stalled" : "no beat comes back");
             }
-            engine.listed(ListKind.DELTA, gateway.targets());
+            if (first) {
+                begin();
+            } else {
+                engine.listed(ListKind.DELTA, gateway.targets());
+            }
         }
     }
 
--- a/src/main/java/pondridge/standin/FaultyLink.java
+++ b/src/main/java/pondridge/standin/FaultyLink.java
@@ -139,8 +139,8 @@
                     @Override
                     protected void initChannel(Channel far) {
                         Pump in = new Pump(far, Way.BACK);
-                        in.to = near;
-                        out.to = far;
+                        in.leadsTo(near);
+                        out.leadsTo(far);
                         far.pipeline().addLast(in);
                     }
                 })
@@ -236,11 +236,21 @@
             }
         }
 
-        private void reset() {
+        private void leadsTo(Channel end) {
+            to = end;
+            end.closeFuture().addListener(closed -> discard());
+        }
+
+        /** Nothing arrives any more. */
+        private void discard() {
             dead = true;
             held.forEach(piece -> piece.bytes.release());
             held.clear();
             heldBytes = 0;
+        }
+
+        private void reset() {
+            discard();
             abort(from);
         }
 
--- a/src/main/java/pondridge/standin/OpenLoad.java
+++ b/src/main/java/pondridge/standin/OpenLoad.java
@@ -30,6 +30,7 @@
 import java.util.Random;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.TimeUnit;
+import java.util.concurrent.locks.LockSupport;
 import org.HdrHistogram.Histogram;
 
 /**
@@ -41,6 +42,8 @@
     private static final int LARGEST = 2 << 20;
     /** How much longer than its time a client stays, so that a late answer is seen as one. */
     private static final long PATIENCE = 2_000_000_000;
+    private static final long PAUSE_STEP = 5_000_000;
+    private static final long PAUSE_LEAST = 20_000_000;
 
     /**
      * What is asked for.
@@ -83,9 +86,24 @@
             plan = load;
             next(System.nanoTime());
         });
+        Thread watch = new Thread(this::watchPauses, "pauses");
+        watch.setDaemon(true);
+        watch.start();
         return done;
     }
 
+    /** Tells the ledger when the machine stands still, as a crowded one does; for as long as load runs. */
+    private void watchPauses() {
+        while (!done.isDone()) {
+            long before = System.nanoTime();
+            LockSupport.parkNanos(PAUSE_STEP);
+            long late = System.nanoTime() - before - PAUSE_STEP;
+            if (late > PAUSE_LEAST) {
+                ledger.paused(late);
+            }
+        }
+    }
+
     /** The latency of what was served, in nanoseconds, by class; to be read after the end. */
     public Map<String, Histogram> served() {
         return served;
--- a/src/test/java/pondridge/standin/LedgerTest.java
+++ b/src/test/java/pondridge/standin/LedgerTest.java
@@ -75,6 +75,11 @@
                 ledger -> whole(ledger, CHECK, 200, 3), ledger -> whole(ledger, CHECK, 503, 1),
                 ledger -> whole(ledger, CONFIRM, 503, 1), ledger -> whole(ledger, BOOK, 502, 1),
                 ledger -> whole(ledger, BOOK, 503, 0), ledger -> {
+                    // Late, and by no more than the machine stood still.
+                    ledger.asked("x", CHECK, "", -1_000_000_000L);
+                    ledger.paused(2_000_000_000L);
+                    ledger.answered("x", 200, "x");
+                }, ledger -> {
                     ledger.draining("s", true);
                     ledger.draining("s", false);
                     whole(ledger, CHECK, 200, 1);
