Keep credit for known sites only, and send nothing to a far gateway that lacks a header

Cause: whoever reached a plain link could make the far gateway keep a credit for each site name it made up, a table without bound. And nothing showed what an older far gateway gets.

Change: stamp and credit go to sites of the settings alone. A test sets a server in the far gateway's place that answers beats without stamp or credit.

--- a/src/main/java/pondridge/gateway/LinkFront.java
+++ b/src/main/java/pondridge/gateway/LinkFront.java
@@ -329,9 +329,11 @@
                 credit(site).ended(turnedAway, now);
             }
             HttpUtil.setContentLength(response, response.content().readableBytes());
-            response.headers().set(LinkHeaders.VERSION, LinkHeaders.SPOKEN)
-                    .set(LinkHeaders.STAMP, stamps.issue(now))
-                    .set(LinkHeaders.CREDIT, draining ? 0 : credit(site).credit());
+            response.headers().set(LinkHeaders.VERSION, LinkHeaders.SPOKEN);
+            if (sites.contains(site)) {
+                response.headers().set(LinkHeaders.STAMP, stamps.issue(now))
+                        .set(LinkHeaders.CREDIT, draining ? 0 : credit(site).credit());
+            }
             stream.writeAndFlush(response);
         }
 
--- a/src/test/java/pondridge/gateway/SitesTest.java
+++ b/src/test/java/pondridge/gateway/SitesTest.java
@@ -14,6 +14,7 @@
 import pondridge.http2.Direct;
 import pondridge.rig.Fleet;
 import pondridge.standin.EffectLedger.Verdict;
+import pondridge.standin.FaultScript;
 import pondridge.standin.FaultyLink;
 import pondridge.standin.StandinServer;
 
@@ -228,4 +229,22 @@
             assertTrue(verdict.unanswered() > 0 && verdict.served() > 0, verdict::toString);
         }
     }
+
+    /** What answers beats without stamp and credit, as an older version might, gets no request at all. */
+    @Test
+    void aFarGatewayThatLacksAHeaderGetsNothing() throws Exception {
+        try (Sites sites = sites(1, 5 * MS, "", "a", "b"); Direct direct = new Direct("");
+                StandinServer older = direct.server(1, 100, 65_535, FaultScript.none(MS))) {
+            ready(sites, "a");
+            FaultyLink link = sites.site("b").links().get(0);
+            link.target(older.address());
+            link.reset();
+            Direct.until(() -> sites.site("a").count("links_up") == 0 && older.connections() > 0,
+                    "the older one");
+            sites.site("a").list(State.DRAINING);
+            Verdict verdict = verdict(sites, sites.load("a", SEED).start(Fleet.mixed(60, 100, WAIT_MS)));
+            assertEquals(60, verdict.refused(), verdict::toString);
+            assertEquals(0, older.runs() + runs(sites, "b"));
+        }
+    }
 }
--- a/src/test/java/pondridge/http2/Direct.java
+++ b/src/test/java/pondridge/http2/Direct.java
@@ -48,12 +48,12 @@
                 Proof.RFC9113, firstStream)).get();
     }
 
-    Direct(String options) throws Exception {
+    public Direct(String options) throws Exception {
         this(options, 1);
     }
 
     /** A server that becomes the upstream of that number. */
-    StandinServer server(long upstream, long streams, int window, FaultScript script) throws Exception {
+    public StandinServer server(long upstream, long streams, int window, FaultScript script) throws Exception {
         StandinServer made = new StandinServer(servers, local(0), new StandinServer.Setup("s" + upstream, "a",
                 StandinServer.Protocol.HTTP2, streams, window, script, ledger, new KeyMemory()));
         listed(upstream, made.address(), true);
