--- a/src/main/java/pondridge/cli/GatewayCommand.java
+++ b/src/main/java/pondridge/cli/GatewayCommand.java
@@ -56,6 +56,7 @@
             Runtime.getRuntime().addShutdownHook(new Thread(() -> {
                 end(loop, gateway, longest(told.platform()));
                 ended.countDown();
+                Runtime.getRuntime().halt(CommandLine.ExitCode.OK);
             }));
             ended.await();
             return CommandLine.ExitCode.OK;
--- a/src/test/java/pondridge/http2/Direct.java
+++ b/src/test/java/pondridge/http2/Direct.java
@@ -53,7 +53,8 @@
     }
 
     /** A server that becomes the upstream of that number. */
-    public StandinServer server(long upstream, long streams, int window, FaultScript script) throws Exception {
+    public StandinServer server(long upstream, long streams, int window, FaultScript script)
+            throws Exception {
         StandinServer made = new StandinServer(servers, local(0), new StandinServer.Setup("s" + upstream, "a",
                 StandinServer.Protocol.HTTP2, streams, window, script, ledger, new KeyMemory()));
         listed(upstream, made.address(), true);
