Share what sidecars see of slow servers through a store, as a hint to the module

Most of what slow servers got in the model were such trials.

Change: pondridge.store: sums over short windows, a quorum over them, a circuit, one exchange at a time on netty's codec for Redis; nothing waits for it.

--- a/src/main/java/pondridge/Rules.java
+++ b/src/main/java/pondridge/Rules.java
@@ -1,5 +1,6 @@
 package pondridge;
 
+import java.nio.ByteBuffer;
 import java.util.ArrayDeque;
 import java.util.ArrayList;
 import java.util.Collections;
@@ -91,6 +92,24 @@
         alarms.flush();
     }
 
+    /**
+     * What other sidecars see of servers: for each 8 bytes its id and 4 how many times slower than usual they
+     * find it. A hint: see {@link Health#told}.
+     */
+    @Override
+    public void peerMessage(long now, int from, byte[] message) {
+        ByteBuffer told = ByteBuffer.wrap(message);
+        while (told.remaining() >= Long.BYTES + Float.BYTES) {
+            Server server = roster.servers.get(told.getLong());
+            double ratio = told.getFloat();
+            if (server != null && ratio > 1 && ratio <= Health.WORST_TOLD) {
+                health.told(now, server, ratio);
+            }
+        }
+        admission.drain(now);
+        alarms.flush();
+    }
+
     @Override
     public void hangup(long now, long request) {
         Call call = ledger.calls.get(request);
@@ -196,6 +215,8 @@
         long integratedAt;
         double exposure;
         double heard;
+        long heardAt;
+        double said;
         int connectFailures;
         long nextTrial;
         long backoff;
@@ -590,6 +611,9 @@
         /** Of each class, over all servers, starting from a tenth of its aim. */
         private final Usual[] usual = new Usual[settings.classes().size()];
         private final long firstBackoff;
+        /** What is said beyond the worst that can be is not believed. */
+        private static final long LONGEST_BACKOFF = 8;
+        private static final double WORST_TOLD = 10_000;
 
         Health() {
             for (int i = 0; i < usual.length; i++) {
@@ -607,7 +631,7 @@
             integrate(now, server);
             server.load += 1 / call.expected;
             if (server.nextTrial > 0) {
-                server.backoff = Math.min(server.backoff * 2, firstBackoff * 8);
+                server.backoff = Math.min(server.backoff * 2, firstBackoff * LONGEST_BACKOFF);
                 server.nextTrial = now + server.backoff;
             }
         }
@@ -629,7 +653,7 @@
 
         /** How many times slower than usual it answers; two answers are taken for granted. */
         private double current(Server server) {
-            return (server.exposure + 2) / (server.heard + 2);
+            return Math.max(server.said, (server.exposure + 2) / (server.heard + 2));
         }
 
         void ended(long now, Attempt attempt, Outcome outcome, Call call) {
@@ -641,12 +665,12 @@
                     reports.learn(attempt, now - attempt.sentAt);
                     learnPace(server, (now - attempt.sentAt) / call.expected);
                     usual[call.request.requestClass()].learn(now - attempt.sentAt, call.request.costHint());
-                    heard(server);
+                    heard(now, server);
                 }
                 case ERROR, RESET -> {
                     // Danger: fast errors empty the in-flight count and win turns. One is as bad as an answer
                     // at twice the aim: a stray one shuts nothing, two in a row do.
-                    heard(server);
+                    heard(now, server);
                     server.exposure += 2 * call.aim / call.expected;
                 }
                 case CONNECT_FAILED -> server.connectFailures++;
@@ -654,7 +678,25 @@
             }
         }
 
-        private void heard(Server server) {
+        /**
+         * Others find it slow. Danger: with few requests of its own a sidecar meets each slow server anew.
+         *  Holds
+         * until the next own answer, and only where none is fresher than the time a trial waits: what is seen
+         * here always outweighs what is said.
+         */
+        void told(long now, Server server, double ratio) {
+            if (server.heardAt == 0 || now - server.heardAt > firstBackoff) {
+                server.said = ratio;
+                // Danger: each of hundreds of sidecars would try a slow server for itself. Others just have;
+                // once nobody has, nobody says so either, and the trials go on.
+                server.backoff = LONGEST_BACKOFF * firstBackoff;
+                server.nextTrial = Math.max(server.nextTrial, now + server.backoff);
+            }
+        }
+
+        private void heard(long now, Server server) {
+            server.heardAt = now;
+            server.said = 0;
             double keep = server.nextTrial > 0 ? 0.5 : 0.9;
             server.exposure *= keep;
             server.heard = server.heard * keep + 1;
--- a/src/main/java/pondridge/cli/Check.java
+++ b/src/main/java/pondridge/cli/Check.java
@@ -8,7 +8,7 @@
 import picocli.CommandLine.Parameters;
 import picocli.CommandLine.Spec;
 import pondridge.settings.SettingsFile;
-import pondridge.transport.TransportSettings;
+import pondridge.sidecar.SidecarSettings;
 
 /** Reads a settings file as a start would, and starts nothing. */
 @Command(name = "check",
@@ -27,8 +27,9 @@
                     + " with " + told.settings().sites().size() + " other site(s)");
             return CommandLine.ExitCode.OK;
         }
-        TransportSettings read = TransportSettings.read(file);
-        spec.commandLine().getOut().println(file + ": good, upstreams speak " + read.protocol());
+        SidecarSettings read = SidecarSettings.read(file);
+        spec.commandLine().getOut().println(file + ": good, upstreams speak "
+                + read.upstreams().protocol() + (read.store() == null ? "" : ", a store is shared"));
         return CommandLine.ExitCode.OK;
     }
 }
--- a/src/main/java/pondridge/core/Engine.java
+++ b/src/main/java/pondridge/core/Engine.java
@@ -3,11 +3,14 @@
 import io.netty.channel.EventLoop;
 import io.netty.handler.codec.http.HttpMethod;
 import io.netty.util.concurrent.Future;
+import java.nio.ByteBuffer;
 import java.util.ArrayDeque;
 import java.util.ArrayList;
 import java.util.HashMap;
+import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
+import java.util.Set;
 import java.util.concurrent.TimeUnit;
 import java.util.function.LongConsumer;
 import pondridge.Balancer;
@@ -26,6 +29,9 @@
 public final class Engine implements Balancer.Actions, Requests {
     /** What of a client's wait is kept for the answer's way back; the module does not know of it. */
     private static final long ANSWER_ROOM = 10_000_000;
+    /** The module's messages have 256 bytes: this many servers in one. */
+    private static final int HEARD_BYTES = 12;
+    private static final int MOST_HEARD = 256 / HEARD_BYTES;
 
     private static final class Call {
         private final Job job;
@@ -79,6 +85,9 @@
     private final ArrayDeque<LongConsumer> events = new ArrayDeque<>();
     private final long clockOffset = System.currentTimeMillis() * 1_000_000 - System.nanoTime();
     private Directory directory;
+    private final Map<Long, String> names = new HashMap<>();
+    private final Set<String> ready = new HashSet<>();
+    private Observer observer;
     private boolean telling;
     private boolean retired;
     private long lastId;
@@ -137,6 +146,35 @@
         return numbers.computeIfAbsent(name, added -> numbers.size());
     }
 
+    /** Sees how attempts end, for who shares that with other sidecars. */
+    public interface Observer {
+        /** An attempt at a server, by its name in the list, has ended after so many nanoseconds. */
+        void ended(String uid, int requestClass, Outcome outcome, long took);
+    }
+
+    /** All attempts' ends are told; before {@link #start}, since only then the list is kept for it. */
+    public void observe(Observer other) {
+        observer = other;
+    }
+
+    /** Names of the servers that are ready, for an observer. */
+    public Set<String> ready() {
+        return Set.copyOf(ready);
+    }
+
+    /** Tells the module how many times slower than usual other sidecars find some servers. */
+    public void heard(Map<String, Double> slower) {
+        List<Map.Entry<String, Double>> known = slower.entrySet().stream()
+                .filter(each -> upstreamIds.containsKey(each.getKey())).limit(MOST_HEARD).toList();
+        if (known.isEmpty()) {
+            return;
+        }
+        ByteBuffer message = ByteBuffer.allocate(HEARD_BYTES * known.size());
+        known.forEach(each -> message.putLong(upstreamIds.get(each.getKey()))
+                .putFloat(each.getValue().floatValue()));
+        tell(now -> rules.peerMessage(now, 0, message.array()));
+    }
+
     /** News of the list, or that asking for it failed. */
     public void listed(ListKind kind, List<Target> targets) {
         List<Upstream> entries = new ArrayList<>(targets.size());
@@ -147,6 +185,9 @@
             entries.add(new Upstream(id, number(zones, target.zone()), number(kinds, target.kind()),
                     target.cell(), target.state(), target.weight(), target.startedMs() * 1_000_000));
         }
+        if (observer != null) {
+            note(kind, named);
+        }
         tell(now -> {
             named.forEach((id, target) -> {
                 if (target.state() == State.GONE) {
@@ -163,6 +204,25 @@
         });
     }
 
+    private void note(ListKind kind, Map<Long, Target> named) {
+        if (kind == ListKind.FULL) {
+            names.clear();
+            ready.clear();
+        }
+        named.forEach((id, target) -> {
+            if (target.state() == State.GONE) {
+                names.remove(id);
+            } else {
+                names.put(id, target.uid());
+            }
+            if (target.state() == State.READY) {
+                ready.add(target.uid());
+            } else {
+                ready.remove(target.uid());
+            }
+        });
+    }
+
     @Override
     public long submit(Job job, Client client) {
         if (calls.size() >= mostOpen) {
@@ -248,6 +308,9 @@
             Answer answer, float[] load) {
         tell(now -> {
             call.ended(outcome);
+            if (observer != null && names.containsKey(upstream)) {
+                observer.ended(names.get(upstream), call.job.requestClass(), outcome, now - sentAt);
+            }
             if (outcome == Outcome.OK) {
                 finish(id, call, () -> call.client.served(answer));
             }
--- a/src/main/java/pondridge/sidecar/Main.java
+++ b/src/main/java/pondridge/sidecar/Main.java
@@ -21,8 +21,8 @@
 import pondridge.http1.Upstreams;
 import pondridge.platform.Config;
 import pondridge.platform.Discovery;
+import pondridge.store.Sharing;
 import pondridge.transport.MixedUpstreams;
-import pondridge.transport.TransportSettings;
 
 /** Entry point of the real sidecar: configuration, start, and an orderly end at SIGTERM. */
 public final class Main {
@@ -48,14 +48,14 @@
         CompletableFuture<Consumer<Config>> running = new CompletableFuture<>();
         reloadAtSighup(file, running);
         Config config;
-        TransportSettings settings = null;
+        SidecarSettings settings = null;
         try {
             if (file == null) {
                 throw new IllegalArgumentException("not set: PROXY_CONFIG");
             }
             config = Config.read(Path.of(file));
             if (args.length == 2 && args[0].equals("--settings")) {
-                settings = TransportSettings.read(Path.of(args[1]));
+                settings = SidecarSettings.read(Path.of(args[1]));
             } else if (args.length > 0 && !REHEARSE.equals(args[0])) {
                 throw new IllegalArgumentException("arguments: expected none, rehearse or --settings FILE");
             }
@@ -67,7 +67,7 @@
         MultiThreadIoEventLoopGroup group = new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory());
         EventLoop loop = group.next();
         boolean rehearsal = args.length == 1 && args[0].equals(REHEARSE);
-        TransportSettings way = settings;
+        SidecarSettings way = settings;
         loop.execute(() -> start(group, loop, config, way, rehearsal, running));
     }
 
@@ -111,11 +111,14 @@
     }
 
     private static void start(MultiThreadIoEventLoopGroup group, EventLoop loop, Config config,
-            TransportSettings settings, boolean rehearsal, CompletableFuture<Consumer<Config>> running) {
+            SidecarSettings settings, boolean rehearsal, CompletableFuture<Consumer<Config>> running) {
         Transport upstreams = settings == null
                 ? new Upstreams(loop, config.options(), config.mostUpstream())
-                : MixedUpstreams.of(loop, config.options(), settings, config.mostUpstream());
+                : MixedUpstreams.of(loop, config.options(), settings.upstreams(), config.mostUpstream());
         Engine engine = new Engine(loop, config.options(), config.seed(), config.sockets() / 2, upstreams);
+        if (settings != null && settings.store() != null) {
+            Sharing.begin(loop, engine, settings.store(), config.seed() + 1);
+        }
         Discovery discovery = new Discovery(loop, config.discovery(), config.known().rev(), engine::listed);
         Frontend frontend = new Frontend(engine, config.options(), config.mostClients());
         engine.start(discovery, config.known().targets());
--- /dev/null
+++ b/src/main/java/pondridge/sidecar/SidecarSettings.java
@@ -0,0 +1,23 @@
+package pondridge.sidecar;
+
+import java.nio.file.Path;
+import pondridge.settings.SettingsFile;
+import pondridge.store.StoreSettings;
+import pondridge.transport.TransportSettings;
+
+/**
+ * What {@code --settings FILE} holds for a sidecar.
+ *
+ * @param upstreams how servers are spoken to
+ * @param store what is shared with other sidecars; null for nothing
+ */
+public record SidecarSettings(TransportSettings upstreams, StoreSettings store) {
+    /** Reads a whole file; any mistake is a {@link pondridge.settings.SettingsException}. */
+    public static SidecarSettings read(Path path) {
+        SettingsFile file = SettingsFile.read(path);
+        SidecarSettings read = new SidecarSettings(TransportSettings.of(file),
+                file.has("store") ? StoreSettings.of(file, path.toAbsolutePath().getParent()) : null);
+        file.finish();
+        return read;
+    }
+}
--- a/src/test/java/pondridge/rig/Fleet.java
+++ b/src/test/java/pondridge/rig/Fleet.java
@@ -12,6 +12,7 @@
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.TimeUnit;
 import java.util.function.BiFunction;
+import java.util.function.Consumer;
 import pondridge.Balancer.ListKind;
 import pondridge.Balancer.State;
 import pondridge.Options;
@@ -114,10 +115,17 @@
 
     /** Starts the front over a transport made on its loop, with all servers listed as ready. */
     public Fleet start(BiFunction<EventLoop, Options, Transport> way) throws Exception {
+        return start(way, made -> { });
+    }
+
+    /** The same; {@code before} sees the engine before it starts. */
+    public Fleet start(BiFunction<EventLoop, Options, Transport> way, Consumer<Engine> before)
+            throws Exception {
         front.submit(() -> {
             transport = way.apply(front, options);
             engine = new Engine(front, options, 7, MOST, transport);
             frontend = new Frontend(engine, options, MOST);
+            before.accept(engine);
             engine.start(new Directory() {
                 @Override
                 public void watch(boolean on) { }
--- /dev/null
+++ b/src/test/java/pondridge/store/SharedStoreTest.java
@@ -0,0 +1,213 @@
+package pondridge.store;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import io.netty.channel.EventLoop;
+import io.netty.channel.MultiThreadIoEventLoopGroup;
+import io.netty.channel.nio.NioIoHandler;
+import java.net.InetAddress;
+import java.net.InetSocketAddress;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.TimeUnit;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
+import pondridge.http1.Upstreams;
+import pondridge.http2.Direct;
+import pondridge.rig.Fleet;
+import pondridge.settings.SettingsFile;
+import pondridge.standin.EffectLedger.Verdict;
+import pondridge.standin.Fault;
+import pondridge.standin.FaultScript;
+import pondridge.standin.StandinServer;
+import pondridge.standin.redis.RedisStandin;
+
+/** Sidecars that share through the stand-in store over sockets, while it fails in each way it can. */
+class SharedStoreTest {
+    private static final long MS = 1_000_000;
+    private static final int WAIT_MS = 1_000;
+    private static final Set<String> SERVERS = Set.of("s0", "s1", "s2", "s3");
+    private final MultiThreadIoEventLoopGroup group =
+            new MultiThreadIoEventLoopGroup(2, NioIoHandler.newFactory());
+    private final EventLoop loop = group.next();
+    private final List<SharedStore> members = new ArrayList<>();
+    private RedisStandin store;
+
+    @BeforeEach
+    void start() {
+        store = new RedisStandin(group.next(), new InetSocketAddress(InetAddress.getLoopbackAddress(), 0),
+                new RedisStandin.Setup("app", "secret", 1 << 20, true, 3_600_000, 100));
+    }
+
+    @AfterEach
+    void end() throws Exception {
+        loop.submit(() -> members.forEach(SharedStore::close)).get();
+        store.close();
+        group.shutdownGracefully(0, 2, TimeUnit.SECONDS).syncUninterruptibly();
+    }
+
+    private StoreSettings settings(String member) {
+        SettingsFile file = SettingsFile.parse("x", "[store]\naddress = \"127.0.0.1:"
+                + store.address().getPort() + "\"\nuser = \"app\"\nmember = \"" + member + "\"\n"
+                + "period = \"40ms\"\nwithin = \"40ms\"\noldest = \"1s\"\nslow_answer = \"30ms\"\n"
+                + "pause = \"20ms\"\nlongest_pause = \"100ms\"\n");
+        StoreSettings read = StoreSettings.of(file, Path.of("."));
+        file.finish();
+        return new StoreSettings(read.address(), read.user(), "secret", read.prefix(), read.member(),
+                read.period(), read.within(), read.read(), read.servers(), read.replyBytes(), read.slow(),
+                read.hearsay(), read.circuit());
+    }
+
+    /** A member that sees s0 take six times the usual, all the time. */
+    private void seesSlow(String name) throws Exception {
+        loop.submit(() -> {
+            SharedStore member = new SharedStore(loop, settings(name), () -> SERVERS, doubted -> { },
+                    name.hashCode());
+            members.add(member);
+            loop.scheduleAtFixedRate(() -> SERVERS.forEach(each ->
+                    member.ended(each, 0, true, (each.equals("s0") ? 6_000 : 2) * MS)), 0, 5,
+                    TimeUnit.MILLISECONDS);
+        }).get();
+    }
+
+    private volatile Map<String, Double> doubted = Map.of();
+
+    private SharedStore hears() throws Exception {
+        return loop.submit(() -> {
+            SharedStore member = new SharedStore(loop, settings("hears"), () -> SERVERS,
+                    told -> doubted = told, 7);
+            members.add(member);
+            return member;
+        }).get();
+    }
+
+    private long count(SharedStore member, String what) {
+        return loop.submit(() -> member.counts().getOrDefault(what, 0L)).syncUninterruptibly().getNow();
+    }
+
+    /**
+     * Each failure in turn: nobody is doubted while the store can't be heard, and the doubt is there again
+     *  when
+     * it can. One sidecar alone is not enough, at first.
+     */
+    @Test
+    void whateverTheStoreDoesNothingIsMadeUp() throws Exception {
+        seesSlow("one");
+        SharedStore hears = hears();
+        Direct.until(() -> count(hears, "exchanges") > 20, "some exchanges");
+        assertEquals(Map.of(), doubted, "one member is no quorum");
+        seesSlow("two");
+        Map<String, Runnable> faults = new LinkedHashMap<>();
+        faults.put("stopped", () -> {
+            store.stop();
+            awaitNobody();
+            store.restart();
+        });
+        faults.put("stalled", () -> {
+            store.faults().stall(true);
+            awaitNobody();
+            store.faults().stall(false);
+        });
+        faults.put("slow", () -> {
+            store.faults().delay(200);
+            awaitNobody();
+            store.faults().delay(0);
+        });
+        faults.put("half replies", () -> {
+            store.faults().halfReplies(true);
+            awaitNobody();
+            store.faults().halfReplies(false);
+        });
+        faults.put("loading", () -> {
+            store.faults().loading(true);
+            awaitNobody();
+            store.faults().loading(false);
+        });
+        faults.put("wrong types", () -> {
+            store.faults().wrongTypes(true);
+            awaitNobody();
+            store.faults().wrongTypes(false);
+        });
+        faults.put("refusing", () -> {
+            store.faults().refuse(true);
+            store.stop();
+            store.restart();
+            awaitNobody();
+            store.faults().refuse(false);
+        });
+        faults.put("a replica that lags takes over", store::failOver);
+        faults.put("all keys lost", store::loseAll);
+        faults.put("its clock an hour ahead", () -> store.faults().clock(3_600_000));
+        faults.put("its clock an hour behind", () -> store.faults().clock(-3_600_000));
+        for (Map.Entry<String, Runnable> each : faults.entrySet()) {
+            Direct.until(() -> doubted.equals(Map.of("s0", doubted.getOrDefault("s0", 0.0)))
+                    && !doubted.isEmpty(), "s0 is doubted, before: " + each.getKey());
+            each.getValue().run();
+        }
+        Direct.until(() -> doubted.containsKey("s0"), "s0 is doubted, at the end");
+    }
+
+    private void awaitNobody() {
+        try {
+            Direct.until(() -> doubted.isEmpty(), "nobody is doubted");
+        } catch (InterruptedException e) {
+            throw new IllegalStateException(e);
+        }
+    }
+
+    /** What s0 gets of a fleet's requests while it is slow; with others that have seen it, or alone. */
+    private double share(boolean shared, boolean stopped) throws Exception {
+        try (Fleet fleet = new Fleet(Fleet.options(WAIT_MS))) {
+            for (String each : List.of("s0", "s1", "s2", "s3")) {
+                fleet.server(each, "a", StandinServer.Protocol.HTTP1, new FaultScript(1,
+                        each.equals("s0") ? Map.of(Fault.SLOW, 1.0) : Map.of(), 2 * MS, 6_000 * MS));
+            }
+            SharedStore[] its = new SharedStore[1];
+            fleet.start((front, options) -> new Upstreams(front, options, 500), engine -> its[0] =
+                    shared ? Sharing.begin(fleet.loop(), engine, settings("fleet"), 3) : null);
+            SharedStore own = its[0];
+            if (shared) {
+                Direct.until(() -> fleet.loop().submit(() -> own.counts().getOrDefault("exchanges", 0L))
+                        .syncUninterruptibly().getNow() > 30, "it has heard the others");
+            }
+            CompletableFuture<Void> load = fleet.load(Fleet.mixed(300, 300, WAIT_MS), 1, "share");
+            if (stopped) {
+                Direct.until(() -> fleet.ledger().answers() > 30, "load");
+                store.stop();
+                Direct.until(() -> fleet.loop().submit(() -> own.counts().get("open"))
+                        .syncUninterruptibly().getNow() > 0, "it has given the store up");
+            }
+            Fleet.await(load);
+            Verdict verdict = fleet.verdict();
+            assertTrue(verdict.clean(), verdict::toString);
+            assertTrue(verdict.served() > 250, verdict::toString);
+            if (own != null) {
+                fleet.loop().submit(own::close).get();
+            }
+            return fleet.servers().get(0).runs() / 300.0;
+        }
+    }
+
+    /**
+     * A sidecar that has seen nothing yet avoids a slow server that two others know; a lost store harms
+     * none.
+     */
+    @Test
+    void aSlowServerIsKnownBeforeItIsMet() throws Exception {
+        double alone = share(false, false);
+        seesSlow("one");
+        seesSlow("two");
+        double shared = share(true, false);
+        double lost = share(true, true);
+        System.out.printf("share of requests to the slow server: alone %.3f, shared %.3f, store lost %.3f%n",
+                alone, shared, lost);
+        assertTrue(shared < alone, shared + " shared, " + alone + " alone");
+    }
+}
