Give classes a crossing budget of their own, and time cold starts by own sight

Need: a class's part of what may cross followed from its worth alone, and a gateway compared the list's start times with its own clock, so with clocks apart it gave a cold server its full share. Change: [crossing_classes.NAME] binds a class by rate, burst and share and sets what it leaves behind for others; check names a class that the platform's file lacks. StartTimes: who is listed anew, or with another start, has started when that is seen here; only the first list's times are believed, less clock_error.

--- a/src/main/java/pondridge/cli/GatewayCommand.java
+++ b/src/main/java/pondridge/cli/GatewayCommand.java
@@ -36,7 +36,9 @@
         static Told read(Path file) {
             GatewaySettings settings = GatewaySettings.read(file);
             try {
-                return new Told(settings, Config.read(settings.platform()));
+                Config platform = Config.read(settings.platform());
+                settings.agree(platform.options());
+                return new Told(settings, platform);
             } catch (IllegalArgumentException | IOException e) {
                 throw new SettingsException(settings.platform().toString(), "", e.getMessage());
             }
--- a/src/main/java/pondridge/demo/Sites.java
+++ b/src/main/java/pondridge/demo/Sites.java
@@ -115,10 +115,26 @@
 
         /** Tells the gateways what the list now says of all servers. */
         public void list(State state) {
+            tell(targets(state));
+        }
+
+        /**
+         * Tells the gateways that a server has just started, by a list whose clock is off.
+         *
+         * @param offMs how far ahead of this machine's clock the list's is
+         */
+        public void restarted(int number, long offMs) {
+            long told = System.currentTimeMillis() + offMs;
+            Target was = targets(State.READY).get(number);
+            Target target = new Target(was.uid(), was.endpoint(), name, "m", 0, State.READY, 1, told);
+            tell(List.of(target));
+        }
+
+        private void tell(List<Target> targets) {
             for (int i = 0; i < gateways.size(); i++) {
                 Gateway gateway = gateways.get(i);
                 on(loops.get(i), () -> {
-                    gateway.listed(ListKind.DELTA, targets(state));
+                    gateway.listed(ListKind.DELTA, targets);
                     return null;
                 });
             }
--- a/src/main/java/pondridge/gateway/Dispatcher.java
+++ b/src/main/java/pondridge/gateway/Dispatcher.java
@@ -125,7 +125,7 @@
             this.job = job;
             this.client = client;
             this.kind = reader.kind(job);
-            this.trail = new Trail(byLink);
+            this.trail = new Trail(job.requestClass(), byLink);
             this.deadline = clock.getAsLong() + Math.max(1, job.waitMs() * 1_000_000 - ANSWER_ROOM);
         }
 
--- a/src/main/java/pondridge/gateway/Gateway.java
+++ b/src/main/java/pondridge/gateway/Gateway.java
@@ -45,6 +45,7 @@
     private final LinkFront linkFront;
     private final Map<String, FarSite> others = new LinkedHashMap<>();
     private final Map<String, State> servers = new HashMap<>();
+    private final StartTimes starts;
     private final LinkTls tls;
     private long certificatesTaken;
     private long certificatesRefused;
@@ -74,10 +75,10 @@
         this.look = link.look();
         this.own = new Engine(loop, options, seed, mostOpen, upstreams);
         this.ownSite = new OwnSite(crossing.own(), now);
-        CrossingBudget budget =
-                new CrossingBudget(crossing.perSecond(), crossing.burst(), crossing.share(), now);
-        Router router = new Router(settings.site(), ownSite, budget, options.settings().classes(),
-                crossing.leastWork(), link.freshness());
+        CrossingBudget budget = new CrossingBudget(crossing.common(),
+                crossing.parts(options.names("profiles"), options.settings().classes()), now);
+        Router router = new Router(settings.site(), ownSite, budget, crossing.leastWork(), link.freshness());
+        this.starts = new StartTimes(settings.clockError() / 1_000_000);
         JobReader reader = new JobReader(options);
         Random random = new Random(seed);
         Options far = FarSite.options(options, link.freshness());
@@ -117,8 +118,9 @@
      * its loop. The future is told on the loop, with an {@link IOException} where listening fails.
      */
     public CompletableFuture<Doors> start(Directory source, List<Target> known, InetSocketAddress listen) {
-        note(ListKind.CACHED, known);
-        own.start(source, known);
+        List<Target> held = starts.held(ListKind.CACHED, known, System.currentTimeMillis());
+        note(ListKind.CACHED, held);
+        own.start(source, held);
         CompletableFuture<Doors> started = new CompletableFuture<>();
         ChannelFuture forSites = linkFront.listen();
         ChannelFuture forClients = frontend.listen(loop, listen);
@@ -154,8 +156,9 @@
 
     /** News of the list of the own site's servers. */
     public void listed(ListKind kind, List<Target> targets) {
-        note(kind, targets);
-        own.listed(kind, targets);
+        List<Target> held = starts.held(kind, targets, System.currentTimeMillis());
+        note(kind, held);
+        own.listed(kind, held);
     }
 
     private void note(ListKind kind, List<Target> targets) {
--- a/src/main/java/pondridge/gateway/GatewaySettings.java
+++ b/src/main/java/pondridge/gateway/GatewaySettings.java
@@ -9,23 +9,28 @@
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
+import pondridge.Balancer.RequestClass;
+import pondridge.Options;
 import pondridge.http2.Http2Options;
 import pondridge.settings.Section;
+import pondridge.settings.SettingsException;
 import pondridge.settings.SettingsFile;
 import pondridge.transport.TransportSettings;
 
 /**
  * What a gateway is set to, besides what a sidecar is; times in nanoseconds.
  *
+ * @param file as messages name it
  * @param site this site's name, as its certificates name it
  * @param platform the file with what a sidecar is told: listening, discovery, classes, rules
+ * @param clockError how far the list's clock may be from this machine's when a gateway starts
  * @param link how links are
  * @param crossing how much may cross, and when
  * @param sites the other sites' gateways, by the site's name
  * @param upstreams how the own site's servers are spoken to
  */
-public record GatewaySettings(String site, Path platform, Link link, Crossing crossing,
-        Map<String, List<InetSocketAddress>> sites, TransportSettings upstreams) {
+public record GatewaySettings(String file, String site, Path platform, long clockError, Link link,
+        Crossing crossing, Map<String, List<InetSocketAddress>> sites, TransportSettings upstreams) {
     /**
      * The link.
      *
@@ -57,13 +62,35 @@
     /**
      * What may cross.
      *
-     * @param perSecond requests in a second
-     * @param burst at once
-     * @param share of all that clients ask
+     * @param common over all classes
+     * @param classes what is set of a class, by its name; its part of the common burst that it leaves behind
+     *     is below 0 where that follows from its worth
      * @param leastWork what must be left of a request's time to be of use to a server
      * @param own how the own site is judged
      */
-    record Crossing(double perSecond, double burst, double share, long leastWork, OwnSite.Limits own) { }
+    record Crossing(CrossingBudget.Rate common, Map<String, CrossingBudget.Part> classes, long leastWork,
+            OwnSite.Limits own) {
+        /** The parts by the classes' numbers. */
+        List<CrossingBudget.Part> parts(List<String> names, List<RequestClass> all) {
+            List<CrossingBudget.Part> parts = new ArrayList<>();
+            for (int i = 0; i < names.size(); i++) {
+                CrossingBudget.Part set = classes.get(names.get(i));
+                double kept = set == null || set.kept() < 0 ? CrossingBudget.usuallyKept(all, i) : set.kept();
+                parts.add(new CrossingBudget.Part(set == null ? null : set.own(), kept));
+            }
+            return parts;
+        }
+    }
+
+    /** Whether it goes with what the platform tells; a mistake is a {@link SettingsException}. */
+    public void agree(Options told) {
+        List<String> known = told.names("profiles");
+        crossing.classes.keySet().stream().filter(name ->
+                !known.contains(name)).findFirst().ifPresent(name -> {
+            throw new SettingsException(file, "crossing_classes." + name,
+                    "the platform's file has no such class; it has " + String.join(", ", known));
+        });
+    }
 
     /** Reads a whole file; any mistake is a {@link pondridge.settings.SettingsException}. */
     public static GatewaySettings read(Path path) {
@@ -79,9 +106,12 @@
         String site = gateway.text("site", null);
         Path platform = folder.resolve(gateway.text("platform", null));
         Section crossing = file.section("crossing");
-        Crossing limits = new Crossing(crossing.fraction("per_second", 200, 0, 1e6),
-                crossing.fraction("burst", 200, 1, 1e6), crossing.fraction("share", 1, 0, 1),
-                crossing.time("least_work", "10ms", "1ms", "10s"),
+        CrossingBudget.Rate common = rate(crossing, 200, 200);
+        Map<String, CrossingBudget.Part> classes = new LinkedHashMap<>();
+        file.section("crossing_classes").sections().forEach((name, section) -> classes.put(name,
+                new CrossingBudget.Part(rate(section, common.perSecond(), common.burst()),
+                        section.fraction("kept", -1, 0, 1))));
+        Crossing limits = new Crossing(common, classes, crossing.time("least_work", "10ms", "1ms", "10s"),
                 new OwnSite.Limits(crossing.number("misses", 5, 1, 1000),
                         crossing.time("trial", "200ms", "10ms", "1min"),
                         crossing.time("steady", "1s", "10ms", "10min"),
@@ -101,10 +131,16 @@
             }
             sites.put(name, addresses);
         });
-        return new GatewaySettings(site, platform, link(file, folder), limits, sites,
+        long clockError = gateway.time("clock_error", "1s", "0ms", "10min");
+        return new GatewaySettings(file.name(), site, platform, clockError, link(file, folder), limits, sites,
                 TransportSettings.of(file));
     }
 
+    private static CrossingBudget.Rate rate(Section section, double perSecond, double burst) {
+        return new CrossingBudget.Rate(section.fraction("per_second", perSecond, 0, 1e6),
+                section.fraction("burst", burst, 1, 1e6), section.fraction("share", 1, 0, 1));
+    }
+
     private static Link link(SettingsFile file, Path folder) {
         Section section = file.section("link");
         InetSocketAddress listen = address(section, "listen", section.text("listen", null));
--- a/src/main/java/pondridge/gateway/Router.java
+++ b/src/main/java/pondridge/gateway/Router.java
@@ -1,7 +1,5 @@
 package pondridge.gateway;
 
-import java.util.HashMap;
-import java.util.List;
 import java.util.Map;
 import java.util.TreeMap;
 import pondridge.Balancer.RequestClass;
@@ -54,7 +52,6 @@
     private final String own;
     private final OwnSite ownSite;
     private final CrossingBudget budget;
-    private final Map<RequestClass, Double> standings;
     private final long leastWork;
     private final long freshness;
 
@@ -62,29 +59,21 @@
      * A router.
      *
      * @param own this site's name
-     * @param classes all classes; their worth says what crosses first
      * @param freshness the other side drops what has been on its way for longer than this
      * @param leastWork what is left of a request's time must be more than this to be of use to a server
      */
-    Router(String own, OwnSite ownSite, CrossingBudget budget, List<RequestClass> classes, long leastWork,
-            long freshness) {
+    Router(String own, OwnSite ownSite, CrossingBudget budget, long leastWork, long freshness) {
         this.own = own;
         this.ownSite = ownSite;
         this.budget = budget;
         this.leastWork = leastWork;
         this.freshness = freshness;
-        this.standings = new HashMap<>();
-        double best = classes.stream().mapToDouble(RequestClass::worth).max().orElse(1);
-        double least = classes.stream().mapToDouble(RequestClass::worth).min().orElse(0);
-        for (RequestClass each : classes) {
-            standings.put(each, best == least ? 1 : (each.worth() - least) / (best - least));
-        }
     }
 
     /** A client's request has come; one from another site does not count for the budget. */
     void came(Trail trail) {
         if (!trail.byLink()) {
-            budget.came();
+            budget.came(trail.requestClass());
         }
     }
 
@@ -148,7 +137,7 @@
                 shortest = trip;
             }
         }
-        return nearest == null || !budget.take(standings.getOrDefault(kind, 0.0), now) ? null
+        return nearest == null || !budget.take(trail.requestClass(), now) ? null
                 : new Across(nearest, left - shortest, window(now, kind, trail) - shortest);
     }
 
--- a/src/main/java/pondridge/gateway/Trail.java
+++ b/src/main/java/pondridge/gateway/Trail.java
@@ -23,11 +23,13 @@
     record Doubt(String site, long since) { }
 
     private final List<Sending> sendings = new ArrayList<>(2);
+    private final int requestClass;
     private final boolean byLink;
     private int waits;
 
     /** A trail's begin; {@code byLink} says that the request came from another site. */
-    Trail(boolean byLink) {
+    Trail(int requestClass, boolean byLink) {
+        this.requestClass = requestClass;
         this.byLink = byLink;
     }
 
@@ -51,6 +53,11 @@
         waits++;
     }
 
+    /** The number of its class. */
+    int requestClass() {
+        return requestClass;
+    }
+
     boolean byLink() {
         return byLink;
     }
--- a/src/main/java/pondridge/settings/SettingsFile.java
+++ b/src/main/java/pondridge/settings/SettingsFile.java
@@ -50,6 +50,11 @@
         }
     }
 
+    /** As messages name it. */
+    public String name() {
+        return name;
+    }
+
     /** Whether the file has this section. */
     public boolean has(String section) {
         return root.has(section);
--- a/src/test/java/pondridge/RoomsTest.java
+++ b/src/test/java/pondridge/RoomsTest.java
@@ -56,7 +56,7 @@
     /** Names of the deciding classes of all rooms; a new one is added here. */
     private static final String DECIDING =
             ".*\\.(StreamTable|Proof|Liveness|ResetBudget|FloodGuard|ProtocolChoice|ColdStart|Router|Trail"
-            + "|LinkTimes|Pool|SharedRoom|CrossingBudget|OwnSite"
+            + "|LinkTimes|Pool|SharedRoom|CrossingBudget|StartTimes|OwnSite"
             + "|Stamps|AnswerMemory|CreditControl|Log.LineBudget|LinkBytes|Threads|Keyspace|Commands"
             + "|RequestParser|StoreCircuit|OwnSums|Hearsay|ServerSum|Report)";
 
--- a/src/test/java/pondridge/cli/BankflowTest.java
+++ b/src/test/java/pondridge/cli/BankflowTest.java
@@ -68,6 +68,12 @@
                 {"gateway", "--config", file.toString()}}) {
             assertTrue(errors(2, command).contains("none.json"), command[0]);
         }
+        Files.writeString(file, "[gateway]\nsite = \"a\"\nplatform = \""
+                + Path.of("deploy/rehearsal.json").toAbsolutePath() + "\"\n[link]\nlisten = \"127.0.0.1:0\"\n"
+                + "security = \"plain\"\n[crossing_classes.order-confrim]\nshare = 0.5\n");
+        String told = errors(2, "check", file.toString());
+        assertTrue(told.contains("crossing_classes.order-confrim: the platform's file has no such class"),
+                told);
         assertTrue(errors(2, "demo", "--seconds", "1").contains("--seconds: expected 3 to 600, found 1"));
     }
 
--- a/src/test/java/pondridge/gateway/DecidersTest.java
+++ b/src/test/java/pondridge/gateway/DecidersTest.java
@@ -10,6 +10,9 @@
 import java.util.Map;
 import java.util.Random;
 import org.junit.jupiter.api.Test;
+import pondridge.Balancer.ListKind;
+import pondridge.Balancer.State;
+import pondridge.core.Target;
 import pondridge.gateway.AnswerMemory.Verdict;
 
 /** What the far end of a link decides, without a link: the memory of answers, stamps, credit. */
@@ -172,4 +175,49 @@
         }
         assertTrue(turnedAway > 1_000, "often full: " + turnedAway);
     }
+
+    /**
+     * Lists by a clock that is off, of servers that start, restart, leave and come back: nobody is held to
+     * have started before it was seen, nobody is fresh twice, and the first list's times are believed but for
+     * the error.
+     */
+    @Test
+    void startTimesAreThisMachinesWhateverTheListsClock() {
+        for (long seed = 0; seed < 500; seed++) {
+            Random random = new Random(seed);
+            long off = random.nextInt(120_000) - 60_000;
+            long error = random.nextInt(2_000);
+            long now = 1_000_000;
+            StartTimes times = new StartTimes(error);
+            Map<String, Long> began = new HashMap<>();
+            Map<String, Long> held = new HashMap<>();
+            for (int i = 0; i < 5; i++) {
+                began.put("s" + i, now - random.nextInt(100_000));
+            }
+            ListKind kind = ListKind.FULL;
+            for (int turn = 0; turn < 40; turn++, now += random.nextInt(3_000)) {
+                String one = "s" + random.nextInt(8);
+                boolean news = turn > 0 && random.nextBoolean();
+                if (news) {
+                    began.put(one, now);
+                }
+                List<Target> told = new ArrayList<>();
+                for (Map.Entry<String, Long> each : began.entrySet()) {
+                    told.add(new Target(each.getKey(), null, "a", "m", 0, State.READY, 1, each.getValue()
+                            + off));
+                }
+                for (Target target : times.held(kind, told, now)) {
+                    String uid = target.uid();
+                    Long before = held.put(uid, target.startedMs());
+                    if (turn == 0) {
+                        assertEquals(Math.min(now, began.get(uid) + off + error), target.startedMs());
+                    } else {
+                        assertEquals(news && uid.equals(one) ? now : before, target.startedMs(), "seed "
+                                + seed);
+                    }
+                }
+                kind = random.nextInt(4) == 0 ? ListKind.FULL : ListKind.DELTA;
+            }
+        }
+    }
 }
--- a/src/test/java/pondridge/gateway/RouterTest.java
+++ b/src/test/java/pondridge/gateway/RouterTest.java
@@ -40,7 +40,15 @@
     }
 
     private static Router router(OwnSite own, CrossingBudget budget) {
-        return new Router("a", own, budget, CLASSES, 10 * MS, FRESH);
+        return new Router("a", own, budget, 10 * MS, FRESH);
+    }
+
+    private static CrossingBudget budget(double perSecond, double burst, double share) {
+        List<CrossingBudget.Part> parts = new ArrayList<>();
+        for (int i = 0; i < CLASSES.size(); i++) {
+            parts.add(new CrossingBudget.Part(null, CrossingBudget.usuallyKept(CLASSES, i)));
+        }
+        return new CrossingBudget(new CrossingBudget.Rate(perSecond, burst, share), parts, 0);
     }
 
     /** Effects of one request: when and where its servers got it, played in order at the end. */
@@ -63,7 +71,7 @@
     /** One request in a world drawn from a seed; gives its final step. */
     private static Router.Step play(Random random, Router router, OwnSite own, RequestClass kind, long begin,
             boolean byLink, List<Run> runs) {
-        Trail trail = new Trail(byLink);
+        Trail trail = new Trail(CLASSES.indexOf(kind), byLink);
         router.came(trail);
         long deadline = begin + 200 * MS + (long) (random.nextDouble() * 11 * SECOND);
         long now = begin;
@@ -113,7 +121,7 @@
         for (long seed = 0; seed < 2_000; seed++) {
             Random random = new Random(seed);
             OwnSite own = new OwnSite(LIMITS, 0);
-            Router router = router(own, new CrossingBudget(1e6, 1e6, 1, 0));
+            Router router = router(own, budget(1e6, 1e6, 1));
             for (int i = 0; i < 40; i++) {
                 RequestClass kind = CLASSES.get(random.nextInt(CLASSES.size()));
                 List<Run> runs = new ArrayList<>();
@@ -134,14 +142,14 @@
     @Test
     void holdsThatMayHaveRunStayWhereTheyMay() {
         OwnSite own = new OwnSite(LIMITS, 0);
-        Router router = router(own, new CrossingBudget(100, 100, 1, 0));
+        Router router = router(own, budget(100, 100, 1));
         Map<String, Router.Site> sites = Map.of("b", site(40 * MS, true, 9));
-        Trail here = new Trail(false);
+        Trail here = new Trail(2, false);
         here.sent("a", 0);
         here.ended(false);
         assertInstanceOf(Router.Fail.class, router.next(MS, HOLD, SECOND, here, sites));
         Map<String, Router.Site> down = Map.of("b", site(40 * MS, false, 0));
-        Trail broken = new Trail(false);
+        Trail broken = new Trail(2, false);
         broken.sent("b", 0);
         broken.ended(false);
         broken.sent("a", 0);
@@ -153,13 +161,13 @@
         }
         assertInstanceOf(Router.Fail.class, router.next(SECOND, CONFIRM, 5 * SECOND, broken, down),
                 "no longer than that");
-        Trail there = new Trail(false);
+        Trail there = new Trail(2, false);
         there.sent("b", 0);
         there.ended(false);
         assertInstanceOf(Router.Across.class, router.next(MS, HOLD, SECOND, there, sites), "there again");
         assertInstanceOf(Router.Fail.class, router.next(SECOND - FRESH, HOLD, 5 * SECOND, there, sites),
                 "it might arrive after the second is over");
-        Trail confirm = new Trail(false);
+        Trail confirm = new Trail(2, false);
         confirm.sent("a", 0);
         confirm.ended(false);
         Router.Across across = assertInstanceOf(Router.Across.class,
@@ -172,8 +180,8 @@
     void whatCannotComeBackInTimeIsNotSent() {
         OwnSite own = new OwnSite(LIMITS, 0);
         own.noneReady(0);
-        Router router = router(own, new CrossingBudget(100, 100, 1, 0));
-        Trail trail = new Trail(false);
+        Router router = router(own, budget(100, 100, 1));
+        Trail trail = new Trail(2, false);
         trail.sent("a", 0);
         trail.ended(true);
         Map<String, Router.Site> sites = Map.of("b", site(80 * MS, true, 9));
@@ -184,21 +192,39 @@
 
     @Test
     void theWorthFirstCrossAndNeverMoreThanTheBudget() {
-        CrossingBudget budget = new CrossingBudget(10, 20, 0.5, 0);
-        int checks = 0;
-        while (budget.take(0, 0)) {
-            checks++;
+        CrossingBudget budget = budget(10, 20, 0.5);
+        assertEquals(List.of(8, 12), List.of(taken(budget, 0, 0), taken(budget, 2, 0)),
+                "most is kept for what is worth most");
+        assertFalse(budget.take(2, SECOND), "time alone does not pay: nothing came");
+        budget.came(0);
+        budget.came(0);
+        assertEquals(1, taken(budget, 2, SECOND));
+    }
+
+    private static int taken(CrossingBudget budget, int number, long now) {
+        int taken = 0;
+        while (taken < 1_000 && budget.take(number, now)) {
+            taken++;
         }
-        int confirms = 0;
-        while (budget.take(1, 0)) {
-            confirms++;
+        return taken;
+    }
+
+    /**
+     * A class's own rate and share bind it alone, and what it leaves behind is as set, not as it is worth.
+     */
+    @Test
+    void aClassHasItsOwnBudgetWithinTheCommonOne() {
+        CrossingBudget.Part free = new CrossingBudget.Part(null, 0);
+        CrossingBudget budget = new CrossingBudget(new CrossingBudget.Rate(100, 100, 1), List.of(
+                new CrossingBudget.Part(new CrossingBudget.Rate(2, 5, 0.5), 0),
+                new CrossingBudget.Part(null, 0.9), free, free), 0);
+        assertEquals(List.of(5, 5, 90), List.of(taken(budget, 0, 0), taken(budget, 1, 0), taken(budget, 2,
+                0)));
+        for (int i = 0; i < 100; i++) {
+            budget.came(i % 2);
         }
-        assertEquals(List.of(8, 12), List.of(checks, confirms), "most is kept for what is worth most");
-        assertFalse(budget.take(1, SECOND), "time alone does not pay: nothing came");
-        budget.came();
-        budget.came();
-        assertTrue(budget.take(1, SECOND));
-        assertFalse(budget.take(1, SECOND));
+        // A second later: its own rate paid 2 of the 25 that its share did, the others have what is left.
+        assertEquals(List.of(2, 98), List.of(taken(budget, 0, SECOND), taken(budget, 3, SECOND)));
     }
 
     @Test
--- a/src/test/java/pondridge/gateway/SitesTest.java
+++ b/src/test/java/pondridge/gateway/SitesTest.java
@@ -13,6 +13,7 @@
 import pondridge.demo.Usual;
 import pondridge.http2.Direct;
 import pondridge.rig.Fleet;
+import pondridge.standin.ColdStart;
 import pondridge.standin.EffectLedger.Verdict;
 import pondridge.standin.FaultScript;
 import pondridge.standin.FaultyLink;
@@ -319,4 +320,25 @@
         System.out.println("own clients served without and with it: " + share[0] + " " + share[1]);
         assertTrue(share[1] > 0.8 * share[0], share[0] + " without, " + share[1] + " with");
     }
+
+    /**
+     * A server starts cold, and the list's clock is 30 s behind or ahead of the gateways': it is not pushed
+     * over.
+     */
+    @Test
+    void aColdServerIsSparedWhateverTheListsClock() throws Exception {
+        for (long off : new long[] {-30_000, 30_000}) {
+            try (Sites sites = sites(1, 5 * MS, "", "a")) {
+                sites.site("a").list(State.READY);
+                CompletableFuture<Void> load = sites.load("a", SEED).start(Fleet.mixed(900, 300, WAIT_MS));
+                Direct.until(() -> sites.site("a").count("served") > 150, "load");
+                sites.site("a").servers().get(0).cold(new ColdStart(System.nanoTime(), 7_400 * MS, 0.39, 20,
+                        4,
+                        1_500 * MS));
+                sites.site("a").restarted(0, off);
+                Verdict verdict = verdict(sites, load);
+                assertTrue(verdict.served() > 800, verdict::toString);
+            }
+        }
+    }
 }
