Lend cold budgets and a site's crossing budget in parts, through counters in the store

Need: each sidecar kept its own split of what a cold server may be sent, which needs warm servers to compare with; a site's gateways each had a budget of their own; the store had no TLS; a gateway shared nothing. Change: store.Leases (parts of a slot, asked for ahead, by demand, over before their slot can be), Members (the most seen in 30 s), Demand, ColdBudgets; Balancer.LEASES stands in for the own split of a cold server; CrossingParts; [store] for gateways; security = "tls"; the stand-in speaks TLS and bounds all requests together.

--- a/src/main/java/pondridge/Balancer.java
+++ b/src/main/java/pondridge/Balancer.java
@@ -249,7 +249,12 @@
     /** A probe's result. */
     default void probeResult(long now, long upstream, Outcome outcome, long elapsed, float[] load) { }
 
-    /** A message from another sidecar of this tier. */
+    /** Who a message is {@code from} that tells what others see of upstreams. */
+    int HEARSAY = 0;
+    /** Who one is from that lends this sidecar parts of what all may send to cold upstreams. */
+    int LEASES = 1;
+
+    /** A message from other sidecars of this tier, see {@link #HEARSAY} and {@link #LEASES}. */
     default void peerMessage(long now, int from, byte[] message) { }
 
     private static void require(boolean holds, String setting) {
--- a/src/main/java/pondridge/Rules.java
+++ b/src/main/java/pondridge/Rules.java
@@ -94,12 +94,22 @@
 
     /**
      * What other sidecars see of servers: for each 8 bytes its id and 4 how many times slower than usual they
-     * find it. A hint: see {@link Health#told}.
+     * find it. A hint: see {@link Health#told}. Or a lease for each of some cold servers: 8 bytes its id, 4
+     * how many requests, 4 for how many milliseconds from now; see {@link Roster#coldRoom}.
      */
     @Override
     public void peerMessage(long now, int from, byte[] message) {
         ByteBuffer told = ByteBuffer.wrap(message);
-        while (told.remaining() >= Long.BYTES + Float.BYTES) {
+        while (from == LEASES && told.remaining() >= Long.BYTES + Float.BYTES + Integer.BYTES) {
+            Server server = roster.servers.get(told.getLong());
+            double count = told.getFloat();
+            int millis = told.getInt();
+            if (server != null && count >= 0 && count <= Roster.MOST_LEASED
+                    && millis > 0 && millis <= Roster.LONGEST_LEASE) {
+                server.lease = new Lease(count, now, now + millis * 1_000_000L, random.nextDouble());
+            }
+        }
+        while (from == HEARSAY && told.remaining() >= Long.BYTES + Float.BYTES) {
             Server server = roster.servers.get(told.getLong());
             double ratio = told.getFloat();
             if (server != null && ratio > 1 && ratio <= Health.WORST_TOLD) {
@@ -202,6 +212,27 @@
                 && roster.coldRoom(now, server, call);
     }
 
+    /** This sidecar's part of what all together may send to one cold server for a while. */
+    private static final class Lease {
+        final double count;
+        final long from;
+        final long until;
+        final double draw;
+        int spent;
+
+        Lease(double count, long from, long until, double draw) {
+            this.count = count;
+            this.from = from;
+            this.until = until;
+            this.draw = draw;
+        }
+
+        /** Evenly over its time, from a drawn place on: those of many sidecars do not begin together. */
+        boolean allows(long now) {
+            return spent + 1 <= Math.min(count, count * (now - from) / (until - from) + draw);
+        }
+    }
+
     /** What is known of one upstream. */
     private static final class Server {
         Upstream entry;
@@ -211,6 +242,7 @@
         double coldTokens;
         boolean coldMet;
         long coldAt;
+        Lease lease;
         double load;
         long integratedAt;
         double exposure;
@@ -351,6 +383,9 @@
             call.looked = List.of();
             health.sent(now, server, call);
             server.coldTokens -= roster.work(call);
+            if (server.lease != null) {
+                server.lease.spent++;
+            }
             server.inFlight++;
             // Danger: work past its aim keeps a core from work that can still be in time. It is given up only
             // where looks show what an upstream holds; elsewhere given-up work would run on unseen.
@@ -418,6 +453,9 @@
 
     /** The list, the subscription to it, and the budget of cold servers. */
     private final class Roster {
+        /** What is lent beyond these is not believed. */
+        static final double MOST_LEASED = 1e6;
+        static final int LONGEST_LEASE = 60_000;
         private final TreeMap<Long, Server> servers = new TreeMap<>();
         private List<Server> ready = List.of();
         private boolean listed;
@@ -500,6 +538,11 @@
             if (now >= server.coldUntil) {
                 return true;
             }
+            if (server.lease != null && now < server.lease.until) {
+                // Danger: own parts sum up only while there are warm servers to compare with. Lent ones sum
+                // up always; one that ends leaves the own part, which was charged meanwhile.
+                return server.lease.allows(now) && server.inFlight <= 1 + server.limit / 2;
+            }
             double warm = 1 - (server.coldUntil - now) / (double) settings.limits().rampTime();
             double cold = settings.limits().coldShare();
             double rate = comparable(now) * (cold + (1 - cold) * Math.max(0, Math.min(1, warm)));
--- a/src/main/java/pondridge/core/Engine.java
+++ b/src/main/java/pondridge/core/Engine.java
@@ -7,7 +7,6 @@
 import java.util.ArrayDeque;
 import java.util.ArrayList;
 import java.util.HashMap;
-import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
@@ -32,6 +31,8 @@
     /** The module's messages have 256 bytes: this many servers in one. */
     private static final int HEARD_BYTES = 12;
     private static final int MOST_HEARD = 256 / HEARD_BYTES;
+    private static final int LEASE_BYTES = 16;
+    private static final int MOST_LEASES = 256 / LEASE_BYTES;
 
     private static final class Call {
         private final Job job;
@@ -85,12 +86,12 @@
     private final ArrayDeque<LongConsumer> events = new ArrayDeque<>();
     private final long clockOffset = System.currentTimeMillis() * 1_000_000 - System.nanoTime();
     private Directory directory;
-    private final Map<Long, String> names = new HashMap<>();
-    private final Set<String> ready = new HashSet<>();
+    private final Listed list = new Listed();
     private Observer observer;
     private boolean telling;
     private boolean retired;
     private long lastId;
+    private long asked;
 
     /**
      * An engine with a decision module of its own.
@@ -157,9 +158,46 @@
         observer = other;
     }
 
+    /** How many requests have come in all. */
+    public long asked() {
+        return asked;
+    }
+
     /** Names of the servers that are ready, for an observer. */
     public Set<String> ready() {
-        return Set.copyOf(ready);
+        return list.ready();
+    }
+
+    /**
+     * Servers that are ready and started less than {@code within} nanoseconds ago, by their names, each with
+     * what names this start of it at every sidecar, and for how long it has been seen here.
+     */
+    public Map<String, Start> started(long within) {
+        return list.started(within, System.nanoTime());
+    }
+
+    /**
+     * A start of a server.
+     *
+     * @param startedMs as the list tells it
+     * @param age nanoseconds since it was seen here, never more than since it was
+     */
+    public record Start(long startedMs, long age) { }
+
+    /** So many requests may be sent to a server that has started, for so many milliseconds from now. */
+    public record Lease(float count, int millis) { }
+
+    /** Tells the module its parts of what all sidecars may send to some cold servers. */
+    public void leased(Map<String, Lease> parts) {
+        List<Map.Entry<String, Lease>> known = parts.entrySet().stream()
+                .filter(each -> upstreamIds.containsKey(each.getKey())).toList();
+        for (int i = 0; i < known.size(); i += MOST_LEASES) {
+            List<Map.Entry<String, Lease>> some = known.subList(i, Math.min(known.size(), i + MOST_LEASES));
+            ByteBuffer message = ByteBuffer.allocate(LEASE_BYTES * some.size());
+            some.forEach(each -> message.putLong(upstreamIds.get(each.getKey()))
+                    .putFloat(each.getValue().count).putInt(each.getValue().millis));
+            tell(now -> rules.peerMessage(now, Balancer.LEASES, message.array()));
+        }
     }
 
     /** Tells the module how many times slower than usual other sidecars find some servers. */
@@ -172,7 +210,7 @@
         ByteBuffer message = ByteBuffer.allocate(HEARD_BYTES * known.size());
         known.forEach(each -> message.putLong(upstreamIds.get(each.getKey()))
                 .putFloat(each.getValue().floatValue()));
-        tell(now -> rules.peerMessage(now, 0, message.array()));
+        tell(now -> rules.peerMessage(now, Balancer.HEARSAY, message.array()));
     }
 
     /** News of the list, or that asking for it failed. */
@@ -186,7 +224,7 @@
                     target.cell(), target.state(), target.weight(), target.startedMs() * 1_000_000));
         }
         if (observer != null) {
-            note(kind, named);
+            list.listed(kind, named, System.nanoTime(), System.currentTimeMillis());
         }
         tell(now -> {
             named.forEach((id, target) -> {
@@ -204,27 +242,9 @@
         });
     }
 
-    private void note(ListKind kind, Map<Long, Target> named) {
-        if (kind == ListKind.FULL) {
-            names.clear();
-            ready.clear();
-        }
-        named.forEach((id, target) -> {
-            if (target.state() == State.GONE) {
-                names.remove(id);
-            } else {
-                names.put(id, target.uid());
-            }
-            if (target.state() == State.READY) {
-                ready.add(target.uid());
-            } else {
-                ready.remove(target.uid());
-            }
-        });
-    }
-
     @Override
     public long submit(Job job, Client client) {
+        asked++;
         if (calls.size() >= mostOpen) {
             client.tried(new Tried(0, 0, false));
             client.refused(0);
@@ -308,8 +328,8 @@
             Answer answer, float[] load) {
         tell(now -> {
             call.ended(outcome);
-            if (observer != null && names.containsKey(upstream)) {
-                observer.ended(names.get(upstream), call.job.requestClass(), outcome, now - sentAt);
+            if (observer != null && list.name(upstream) != null) {
+                observer.ended(list.name(upstream), call.job.requestClass(), outcome, now - sentAt);
             }
             if (outcome == Outcome.OK) {
                 finish(id, call, () -> call.client.served(answer));
--- a/src/main/java/pondridge/demo/Sites.java
+++ b/src/main/java/pondridge/demo/Sites.java
@@ -172,7 +172,7 @@
             long sum = 0;
             for (int i = 0; i < gateways.size(); i++) {
                 Gateway gateway = gateways.get(i);
-                sum += dead.contains(i) ? 0 : on(loops.get(i), () -> gateway.counts().get(of));
+                sum += dead.contains(i) ? 0 : on(loops.get(i), () -> gateway.counts().getOrDefault(of, 0L));
             }
             return sum;
         }
--- a/src/main/java/pondridge/gateway/CrossingBudget.java
+++ b/src/main/java/pondridge/gateway/CrossingBudget.java
@@ -35,12 +35,15 @@
         private double byRate;
         private double byShare;
         private long at;
+        private double leased;
+        private long leasedUntil;
 
         Bucket(Rate rate, long now) {
             this.rate = rate;
             this.byRate = rate.burst;
             this.byShare = rate.burst;
             this.at = now;
+            this.leasedUntil = now;
         }
 
         private void came() {
@@ -48,8 +51,10 @@
         }
 
         private double holds(long now) {
-            byRate = Math.min(rate.burst, byRate + Math.max(0, now - at) * rate.perSecond / 1e9);
-            at = now;
+            double lent = Math.max(0, Math.min(now, leasedUntil) - at);
+            double own = Math.max(0, now - at) - lent;
+            byRate = Math.min(rate.burst, byRate + (lent * leased + own * rate.perSecond) / 1e9);
+            at = Math.max(at, now);
             return Math.min(byRate, byShare);
         }
 
@@ -70,6 +75,13 @@
         parts.forEach(part -> own.add(part.own == null ? null : new Bucket(part.own, now)));
     }
 
+    /** Until then this rate holds over all classes, in place of this gateway's own part of the site's. */
+    void lease(double perSecond, long now, long until) {
+        common.holds(now);
+        common.leased = perSecond;
+        common.leasedUntil = until;
+    }
+
     /** What each class leaves behind where nothing is set: by its worth, nothing for the one worth most. */
     static double usuallyKept(List<RequestClass> classes, int number) {
         double best = classes.stream().mapToDouble(RequestClass::worth).max().orElse(1);
--- a/src/main/java/pondridge/gateway/Gateway.java
+++ b/src/main/java/pondridge/gateway/Gateway.java
@@ -29,6 +29,8 @@
 import pondridge.http1.Frontend;
 import pondridge.http2.Dialler;
 import pondridge.http2.Http2Upstreams;
+import pondridge.store.SharedStore;
+import pondridge.store.Sharing;
 
 /**
  * One gateway of a site: takes clients' requests as the sidecar does and other sites' requests from its link,
@@ -46,6 +48,7 @@
     private final Map<String, FarSite> others = new LinkedHashMap<>();
     private final Map<String, State> servers = new HashMap<>();
     private final StartTimes starts;
+    private final SharedStore store;
     private final LinkTls tls;
     private long certificatesTaken;
     private long certificatesRefused;
@@ -79,6 +82,11 @@
                 crossing.parts(options.names("profiles"), options.settings().classes()), now);
         Router router = new Router(settings.site(), ownSite, budget, crossing.leastWork(), link.freshness());
         this.starts = new StartTimes(settings.clockError() / 1_000_000);
+        this.store = settings.store() == null ? null : Sharing.begin(loop, own, settings.store(),
+                options.settings().limits(), seed);
+        if (store != null) {
+            store.share(new CrossingParts(settings.site(), crossing.sitePerSecond(), budget, clock));
+        }
         JobReader reader = new JobReader(options);
         Random random = new Random(seed);
         Options far = FarSite.options(options, link.freshness());
@@ -192,6 +200,9 @@
         shown.put("certificates_refused", certificatesRefused);
         shown.put("link_connections", (long) linkFront.connections());
         shown.put("link_held_bytes", linkFront.heldBytes());
+        if (store != null) {
+            store.counts().forEach((name, count) -> shown.put("store_" + name, count));
+        }
         return shown;
     }
 
@@ -210,6 +221,9 @@
     public void close() {
         frontend.close();
         linkFront.close();
+        if (store != null) {
+            store.close();
+        }
         others.values().forEach(FarSite::close);
     }
 }
--- a/src/main/java/pondridge/gateway/GatewaySettings.java
+++ b/src/main/java/pondridge/gateway/GatewaySettings.java
@@ -15,6 +15,7 @@
 import pondridge.settings.Section;
 import pondridge.settings.SettingsException;
 import pondridge.settings.SettingsFile;
+import pondridge.store.StoreSettings;
 import pondridge.transport.TransportSettings;
 
 /**
@@ -28,9 +29,11 @@
  * @param crossing how much may cross, and when
  * @param sites the other sites' gateways, by the site's name
  * @param upstreams how the own site's servers are spoken to
+ * @param store what is shared with the site's other gateways; null for nothing
  */
 public record GatewaySettings(String file, String site, Path platform, long clockError, Link link,
-        Crossing crossing, Map<String, List<InetSocketAddress>> sites, TransportSettings upstreams) {
+        Crossing crossing, Map<String, List<InetSocketAddress>> sites, TransportSettings upstreams,
+        StoreSettings store) {
     /**
      * The link.
      *
@@ -62,13 +65,15 @@
     /**
      * What may cross.
      *
-     * @param common over all classes
+     * @param common over all classes: this gateway's part
+     * @param sitePerSecond requests in a second over all gateways of the site
      * @param classes what is set of a class, by its name; its part of the common burst that it leaves behind
      *     is below 0 where that follows from its worth
      * @param leastWork what must be left of a request's time to be of use to a server
      * @param own how the own site is judged
      */
-    record Crossing(CrossingBudget.Rate common, Map<String, CrossingBudget.Part> classes, long leastWork,
+    record Crossing(CrossingBudget.Rate common, double sitePerSecond, Map<String,
+            CrossingBudget.Part> classes, long leastWork,
             OwnSite.Limits own) {
         /** The parts by the classes' numbers. */
         List<CrossingBudget.Part> parts(List<String> names, List<RequestClass> all) {
@@ -106,12 +111,16 @@
         String site = gateway.text("site", null);
         Path platform = folder.resolve(gateway.text("platform", null));
         Section crossing = file.section("crossing");
-        CrossingBudget.Rate common = rate(crossing, 200, 200);
+        CrossingBudget.Rate whole = rate(crossing, 200, 200);
+        int gateways = crossing.number("gateways", 1, 1, 1000);
+        CrossingBudget.Rate common = new CrossingBudget.Rate(whole.perSecond() / gateways,
+                Math.max(1, whole.burst() / gateways), whole.share());
         Map<String, CrossingBudget.Part> classes = new LinkedHashMap<>();
         file.section("crossing_classes").sections().forEach((name, section) -> classes.put(name,
                 new CrossingBudget.Part(rate(section, common.perSecond(), common.burst()),
                         section.fraction("kept", -1, 0, 1))));
-        Crossing limits = new Crossing(common, classes, crossing.time("least_work", "10ms", "1ms", "10s"),
+        Crossing limits = new Crossing(common, whole.perSecond(), classes, crossing.time("least_work",
+                "10ms", "1ms", "10s"),
                 new OwnSite.Limits(crossing.number("misses", 5, 1, 1000),
                         crossing.time("trial", "200ms", "10ms", "1min"),
                         crossing.time("steady", "1s", "10ms", "10min"),
@@ -133,7 +142,7 @@
         });
         long clockError = gateway.time("clock_error", "1s", "0ms", "10min");
         return new GatewaySettings(file.name(), site, platform, clockError, link(file, folder), limits, sites,
-                TransportSettings.of(file));
+                TransportSettings.of(file), file.has("store") ? StoreSettings.of(file, folder) : null);
     }
 
     private static CrossingBudget.Rate rate(Section section, double perSecond, double burst) {
--- a/src/main/java/pondridge/sidecar/Main.java
+++ b/src/main/java/pondridge/sidecar/Main.java
@@ -117,7 +117,8 @@
                 : MixedUpstreams.of(loop, config.options(), settings.upstreams(), config.mostUpstream());
         Engine engine = new Engine(loop, config.options(), config.seed(), config.sockets() / 2, upstreams);
         if (settings != null && settings.store() != null) {
-            Sharing.begin(loop, engine, settings.store(), config.seed() + 1);
+            Sharing.begin(loop, engine, settings.store(), config.options().settings().limits(),
+                    config.seed() + 1);
         }
         Discovery discovery = new Discovery(loop, config.discovery(), config.known().rev(), engine::listed);
         Frontend frontend = new Frontend(engine, config.options(), config.mostClients());
--- a/src/main/java/pondridge/standin/redis/RedisStandin.java
+++ b/src/main/java/pondridge/standin/redis/RedisStandin.java
@@ -15,6 +15,7 @@
 import io.netty.channel.group.ChannelGroup;
 import io.netty.channel.group.DefaultChannelGroup;
 import io.netty.channel.socket.nio.NioServerSocketChannel;
+import io.netty.handler.ssl.SslContext;
 import java.io.ByteArrayOutputStream;
 import java.io.IOException;
 import java.io.UncheckedIOException;
@@ -37,6 +38,8 @@
     private static final int MOST_BYTES = 1 << 20;
     private static final int MOST_UNREAD = 1 << 20;
     private static final int MOST_LOGGED = 100_000;
+    /** Of requests that have not wholly come, over all connections. */
+    private static final long MOST_HELD = 64 << 20;
     private static final int MOST_TRIES = 100;
     private static final long PAUSE = 20_000_000;
 
@@ -49,9 +52,15 @@
      * @param evicts over it the longest unused keys give way, else writes are refused
      * @param lagMs how far its copy lags behind
      * @param connections at a time
+     * @param tls null for plain text
      */
     public record Setup(String user, String password, long memory, boolean evicts, long lagMs,
-            int connections) {
+            int connections, SslContext tls) {
+        /** In plain text. */
+        public Setup(String user, String password, long memory, boolean evicts, long lagMs, int connections) {
+            this(user, password, memory, evicts, lagMs, connections, null);
+        }
+
         /** No password, 64 MiB with eviction, a copy a second behind, 10,000 connections. */
         public static Setup usual() {
             return new Setup("default", "", 64 << 20, true, 1_000, 10_000);
@@ -72,6 +81,7 @@
     private volatile Channel listener;
     private volatile long commands;
     private volatile long bytes;
+    private long held;
     private long lastId;
 
     /** Starts one; the caller must not be on {@code loop}. Port 0 takes a free one. */
@@ -126,6 +136,9 @@
             return;
         }
         open.add(made);
+        if (setup.tls != null) {
+            made.pipeline().addLast(setup.tls.newHandler(made.alloc()));
+        }
         made.pipeline().addLast(new Connection());
     }
 
@@ -228,6 +241,7 @@
         private final RequestParser parser = new RequestParser(MOST_ARGUMENTS, MOST_BYTES);
         private Session session;
         private ChannelHandlerContext context;
+        private int its;
 
         @Override
         public void handlerAdded(ChannelHandlerContext added) {
@@ -238,6 +252,10 @@
         @Override
         protected void channelRead0(ChannelHandlerContext ctx, ByteBuf in) {
             bytes += in.readableBytes();
+            if (held + in.readableBytes() > MOST_HELD) {
+                ctx.close();
+                return;
+            }
             parser.feed(ByteBufUtil.getBytes(in));
             ByteArrayOutputStream out = new ByteArrayOutputStream();
             try {
@@ -253,9 +271,15 @@
                 new Reply.Failure(e.getMessage()).write(out, session.resp3);
                 session.ends = true;
             }
+            account(parser.held());
             send(out.toByteArray());
         }
 
+        private void account(int holds) {
+            held += holds - its;
+            its = holds;
+        }
+
         private void serve(List<String> request, ByteArrayOutputStream out) {
             commands++;
             if (faults.stalled) {
@@ -323,6 +347,7 @@
 
         @Override
         public void channelInactive(ChannelHandlerContext ctx) {
+            account(0);
             primary.gone(session);
         }
 
--- a/src/main/java/pondridge/store/SharedStore.java
+++ b/src/main/java/pondridge/store/SharedStore.java
@@ -11,17 +11,25 @@
 import java.util.Set;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
+import java.util.function.LongSupplier;
 import java.util.function.Supplier;
 
 /**
  * Shares what this sidecar sees of servers, and hears what others see: every period it writes its report,
- *  draws
- * some other members and reads theirs. Nothing waits for it; when the store is away, slow or talks nonsense,
- * nobody is doubted on hearsay and all else is as without it. On the event loop only.
+ * draws some other members and reads theirs; and it takes its parts of what all have together. Nothing waits
+ * for it; when the store is away, slow or talks nonsense, nobody is doubted on hearsay, no part is taken, and
+ * all else is as without it. On the event loop only.
  */
 public final class SharedStore {
     /** How long a set of members stands; a member is in the set of the time in which it last wrote. */
     private static final long SLOT_MS = 10_000;
+    /** So long the most members that were seen count: as long as one of them may stand in the store. */
+    private static final long REMEMBERED = 30_000_000_000L;
+    /** Replies before those to asks for parts. */
+    private static final int REPORTING = 8;
+
+    /** A part that was asked for, and by whom. */
+    private record Asked(Leases.Ask ask, Budgets by) { }
 
     private final EventLoop loop;
     private final StoreSettings settings;
@@ -29,6 +37,11 @@
     private final Hearsay hearsay;
     private final StoreCircuit circuit;
     private final StoreLink link;
+    private final Members fleet;
+    private final Leases leases;
+    private final List<Budgets> budgets = new ArrayList<>();
+    private final Demand demand = new Demand();
+    private final LongSupplier asked;
     private final Supplier<Set<String>> listed;
     private final Consumer<Map<String, Double>> doubts;
     private final Random random;
@@ -37,20 +50,22 @@
     private boolean asking;
     private long storeMs;
     private long storeAt;
-    private long members;
 
     /**
      * Begins at once.
      *
+     * @param asked how many requests clients have asked in all
      * @param listed the names of servers that are ready, asked each time
      * @param doubts told after each exchange which servers others find slow, and how slow; empty when the
      *     store can't be heard
      */
-    public SharedStore(EventLoop loop, StoreSettings settings, Supplier<Set<String>> listed,
+    public SharedStore(EventLoop loop, StoreSettings settings, LongSupplier asked,
+            Supplier<Set<String>> listed,
             Consumer<Map<String, Double>> doubts, long seed) {
         long now = System.nanoTime();
         this.loop = loop;
         this.settings = settings;
+        this.asked = asked;
         this.listed = listed;
         this.doubts = doubts;
         this.random = new Random(seed);
@@ -58,11 +73,18 @@
         this.hearsay = new Hearsay(settings.hearsay());
         this.circuit = new StoreCircuit(settings.circuit(), random.nextLong());
         this.link = new StoreLink(loop, settings);
+        this.fleet = new Members(REMEMBERED, settings.shares().settle());
+        this.leases = new Leases(settings.shares().slot() / 1_000_000, random.nextLong());
         // Drawn within the period: sidecars that start together do not write together.
         this.timer = loop.schedule(this::tick, (long) (random.nextDouble() * settings.period()),
                 TimeUnit.NANOSECONDS);
     }
 
+    /** From now on parts of these budgets are asked for, too. */
+    public void share(Budgets with) {
+        budgets.add(with);
+    }
+
     /** An attempt that went out has ended. */
     public void ended(String uid, int requestClass, boolean good, long took) {
         own.ended(uid, requestClass, good, took, System.nanoTime());
@@ -71,7 +93,7 @@
     /** Where it stands: counts by name. */
     public Map<String, Long> counts() {
         Map<String, Long> all = new LinkedHashMap<>(counts);
-        all.put("members", members);
+        all.put("members", fleet.most(System.nanoTime()));
         all.put("open", circuit.open() ? 1L : 0);
         all.put("not_heard", hearsay.dropped());
         return all;
@@ -89,8 +111,65 @@
             return;
         }
         asking = true;
+        demand.asked(asked.getAsLong(), now);
         count("exchanges");
-        link.ask(storeMs == 0 ? List.of(List.of("TIME")) : first(now), replies -> firstTold(replies, now));
+        if (storeMs == 0) {
+            link.ask(List.of(List.of("TIME")), replies -> firstTold(replies, List.of(), now));
+            return;
+        }
+        List<Asked> asks = asks(now);
+        List<List<String>> commands = new ArrayList<>(first(now));
+        for (Asked each : asks) {
+            if (each.ask.want() == 0) {
+                continue;
+            }
+            String counter = key("part", each.ask.name() + ':' + settings.shares().slot() / 1_000_000 + ':'
+                    + each.ask.slot());
+            commands.add(List.of("INCRBY", counter, Long.toString(each.ask.want())));
+            commands.add(List.of("PEXPIRE", counter,
+                    Long.toString(4 * settings.shares().slot() / 1_000_000)));
+        }
+        link.ask(commands, replies -> firstTold(replies, asks, now));
+    }
+
+    private List<Asked> asks(long now) {
+        List<Asked> asks = new ArrayList<>();
+        if (fleet.settled(now)) {
+            double weight = fleet.weight(demand.perSecond());
+            for (Budgets each : budgets) {
+                leases.asks(each.wanted(settings.shares().slot(), leases.ahead(storeNow(now))),
+                        fleet.most(now), weight, storeNow(now))
+                        .forEach(ask -> asks.add(new Asked(ask, each)));
+            }
+        }
+        return asks;
+    }
+
+    /**
+     * Takes what the counters gave; a part holds only when its time has come, and if that is not over then.
+     */
+    private void take(List<Object> replies, List<Asked> asks, long askedAt, long now) {
+        int at = REPORTING;
+        for (Asked its : asks) {
+            Object reply = 0L;
+            if (its.ask.want() > 0) {
+                reply = replies.get(at);
+                at += 2;
+            }
+            Leases.Grant grant = reply instanceof Long counter
+                    ? leases.told(its.ask, counter, storeMs, askedAt, now) : null;
+            if (grant == null) {
+                count("parts_not_told");
+                continue;
+            }
+            count(grant.count() > 0 ? "parts" : "parts_none_left");
+            loop.schedule(() -> {
+                long valid = grant.until() - System.nanoTime();
+                if (valid > 0) {
+                    its.by.granted(grant.name(), grant.count(), valid);
+                }
+            }, Math.max(0, grant.from() - now), TimeUnit.NANOSECONDS);
+        }
     }
 
     private String key(String kind, String name) {
@@ -109,15 +188,15 @@
         String read = Integer.toString(settings.read());
         return List.of(List.of("TIME"),
                 List.of("SET", key("report", settings.member()),
-                        new Report(at, own.lately(settings.servers(), now)).write(), "PX",
+                        new Report(at, demand.perSecond(), own.lately(settings.servers(), now)).write(), "PX",
                         Long.toString(Math.max(1, settings.hearsay().oldest()))),
                 List.of("SADD", slot, settings.member()),
                 List.of("PEXPIRE", slot, Long.toString(3 * SLOT_MS)),
-                List.of("SCARD", before), List.of("SRANDMEMBER", slot, read),
+                List.of("SCARD", slot), List.of("SCARD", before), List.of("SRANDMEMBER", slot, read),
                 List.of("SRANDMEMBER", before, read));
     }
 
-    private void firstTold(List<Object> replies, long began) {
+    private void firstTold(List<Object> replies, List<Asked> asks, long began) {
         long now = System.nanoTime();
         Long time = replies == null ? null : time(replies.get(0));
         if (time == null || replies.stream().anyMatch(StoreLink.StoreError.class::isInstance)) {
@@ -127,17 +206,20 @@
         boolean known = storeMs != 0;
         storeMs = time;
         storeAt = now;
-        if (!known || replies.size() < 7) {
+        if (!known) {
             over(now - began, now);
             return;
         }
+        if (replies.get(4) instanceof Long these && replies.get(5) instanceof Long those) {
+            fleet.seen(Math.max(these, those), now);
+        }
+        take(replies, asks, began, now);
         Set<String> drawn = new HashSet<>();
-        for (Object part : List.of(replies.get(5), replies.get(6))) {
+        for (Object part : List.of(replies.get(6), replies.get(7))) {
             if (part instanceof List<?> names) {
                 names.forEach(each -> drawn.add(String.valueOf(each)));
             }
         }
-        members = replies.get(4) instanceof Long count ? Math.max(0, count) : 0;
         drawn.remove(settings.member());
         List<String> chosen = drawn.stream().limit(settings.read()).toList();
         if (chosen.isEmpty()) {
@@ -178,6 +260,8 @@
             }
         }
         over(now - began, now);
+        fleet.rates(heard.stream().filter(each -> Math.abs(each.ageMs()) <= settings.hearsay().oldest())
+                .map(each -> each.report().soundRate(settings.period())).toList(), demand.perSecond());
         doubts.accept(hearsay.doubted(heard, listed.get()));
     }
 
--- a/src/main/java/pondridge/store/Sharing.java
+++ b/src/main/java/pondridge/store/Sharing.java
@@ -1,6 +1,7 @@
 package pondridge.store;
 
 import io.netty.channel.EventLoop;
+import pondridge.Balancer;
 import pondridge.Balancer.Outcome;
 import pondridge.core.Engine;
 
@@ -10,9 +11,14 @@
 public final class Sharing {
     private Sharing() { }
 
-    /** Begins; on the loop. */
-    public static SharedStore begin(EventLoop loop, Engine engine, StoreSettings settings, long seed) {
-        SharedStore store = new SharedStore(loop, settings, engine::ready, engine::heard, seed);
+    /** Begins; on the loop, before the engine starts. {@code limits} are the module's. */
+    public static SharedStore begin(EventLoop loop, Engine engine, StoreSettings settings,
+            Balancer.Limits limits, long seed) {
+        SharedStore store = new SharedStore(loop, settings, engine::asked, engine::ready, engine::heard,
+                seed);
+        if (settings.shares().coldPerSecond() > 0) {
+            store.share(new ColdBudgets(engine, settings.shares(), limits));
+        }
         engine.observe((uid, requestClass, outcome, took) -> {
             boolean good = outcome == Outcome.OK;
             // Turned away, given up here or never sent: nothing was seen of how the server works.
--- a/src/main/java/pondridge/store/StoreLink.java
+++ b/src/main/java/pondridge/store/StoreLink.java
@@ -84,6 +84,10 @@
                 .handler(new ChannelInitializer<Channel>() {
                     @Override
                     protected void initChannel(Channel made) {
+                        if (settings.tls() != null) {
+                            made.pipeline().addLast(settings.tls().newHandler(made.alloc(),
+                                    settings.serverName(), settings.address().getPort()));
+                        }
                         made.pipeline().addLast(new Bound(), new RedisDecoder(LONGEST_LINE,
                                         FixedRedisMessagePool.INSTANCE),
                                 new RedisBulkStringAggregator(), new RedisArrayAggregator(MOST_ELEMENTS,
@@ -99,10 +103,10 @@
                     } else {
                         channel = made.channel();
                         List<List<String>> all = new ArrayList<>(commands);
-                        if (!settings.password().isEmpty()) {
-                            all.add(0, settings.user().equals("default")
-                                    ? List.of("AUTH", settings.password())
-                                    : List.of("AUTH", settings.user(), settings.password()));
+                        if (!settings.login().password().isEmpty()) {
+                            String password = settings.login().password();
+                            all.add(0, settings.login().user().equals("default") ? List.of("AUTH", password)
+                                    : List.of("AUTH", settings.login().user(), password));
                         }
                         write(all, all.size() - commands.size());
                     }
--- a/src/test/java/pondridge/RulesTest.java
+++ b/src/test/java/pondridge/RulesTest.java
@@ -644,6 +644,62 @@
         }
     }
 
+    /**
+     * Requests that a cold server gets within a time, with that many sent in a second to it and three warm
+     * ones.
+     */
+    private static long toCold(Recorder host, long millis) {
+        int before = host.sends.size();
+        for (long id = host.now; millis > 0; millis -= 10, id++) {
+            host.request(id, 0);
+            Recorder.Sent sent = host.last();
+            host.advance(10 * Recorder.MS);
+            host.outcome(sent, Outcome.OK);
+        }
+        return host.sentTo(9, before);
+    }
+
+    private static Recorder withCold() {
+        Recorder host = host(REPEATABLE).withUpstreams(3);
+        host.serve(0, 300, 0, 10 * Recorder.MS);
+        host.rules.listChanged(host.now, ListKind.DELTA, List.of(Recorder.upstream(9, State.READY,
+                host.now)));
+        return host;
+    }
+
+    private static byte[] lent(long upstream, double count, int millis) {
+        return ByteBuffer.allocate(16).putLong(upstream).putFloat((float) count).putInt(millis).array();
+    }
+
+    /** A part that is lent is neither overdrawn nor used after its end, and nonsense lends nothing. */
+    @Test
+    void aColdUpstreamGetsWhatIsLentAndNothingOnALeaseThatIsOver() {
+        long own = toCold(withCold(), 1_000);
+        Recorder host = withCold();
+        host.rules.peerMessage(host.now, Balancer.LEASES, lent(9, 0, 1_000));
+        assertEquals(0, toCold(host, 1_000), "nothing is lent");
+        assertTrue(toCold(host, 1_000) > 0, "its own part again");
+        host = withCold();
+        host.rules.peerMessage(host.now, Balancer.LEASES, lent(9, 20, 1_000));
+        long lent = toCold(host, 1_000);
+        assertTrue(lent > own && lent >= 15 && lent <= 20, own + " of its own, " + lent + " of 20 lent");
+        // Asleep for 10 s right after 1,000 were lent for one second: as if nothing had been.
+        host = withCold();
+        Recorder other = withCold();
+        host.rules.peerMessage(host.now, Balancer.LEASES, lent(9, 1_000, 1_000));
+        host.advance(3_000 * Recorder.MS);
+        other.advance(3_000 * Recorder.MS);
+        assertEquals(toCold(other, 1_000), toCold(host, 1_000));
+        host = withCold();
+        for (double odd : new double[] {Double.NaN, -1, 1e30, Double.POSITIVE_INFINITY}) {
+            host.rules.peerMessage(host.now, Balancer.LEASES, lent(9, odd, 1_000));
+        }
+        host.rules.peerMessage(host.now, Balancer.LEASES, lent(9, 100, -5));
+        host.rules.peerMessage(host.now, Balancer.LEASES, lent(9, 100, Integer.MAX_VALUE));
+        host.rules.peerMessage(host.now, Balancer.LEASES, lent(99, 100, 1_000));
+        assertEquals(own, toCold(host, 1_000));
+    }
+
     @Test
     void moduleStaysWithinItsSize() throws IOException {
         List<String> lines = Files.readAllLines(Path.of("src/main/java/pondridge/Rules.java"));
--- a/src/test/java/pondridge/cli/BankflowTest.java
+++ b/src/test/java/pondridge/cli/BankflowTest.java
@@ -50,6 +50,9 @@
                 "[http2]\nconnections = 2", "http2.connections: fewer than connections_per_server",
                 "http2 = 3", "http2: expected a section",
                 "[store]\naddress = \"there\"", "store.address: expected an address and a port",
+                "[store]\nslot = \"1s\"", "store.slot: less than 5/4 of period",
+                "[store]\nsecurity = \"tls\"\nauthorities = \"none.pem\"",
+                "store.authorities: can't be used",
                 "[http2", "not TOML: line 1"));
         for (Map.Entry<String, String> each : mistakes.entrySet()) {
             Path file = Files.writeString(folder.resolve("x.toml"), each.getKey());
--- a/src/test/java/pondridge/gateway/RouterTest.java
+++ b/src/test/java/pondridge/gateway/RouterTest.java
@@ -227,6 +227,20 @@
         assertEquals(List.of(2, 98), List.of(taken(budget, 0, SECOND), taken(budget, 3, SECOND)));
     }
 
+    /** What is lent holds for its time in place of the own part, also when nobody looked meanwhile. */
+    @Test
+    void aLeaseHoldsForItsTimeAndNoLonger() {
+        CrossingBudget budget = budget(10, 1_000, 1);
+        taken(budget, 2, 0);
+        for (int i = 0; i < 1_000; i++) {
+            budget.came(2);
+        }
+        budget.lease(100, 0, SECOND);
+        assertEquals(100 + 10, taken(budget, 2, 2 * SECOND), 1);
+        budget.lease(0, 2 * SECOND, 3 * SECOND);
+        assertEquals(0, taken(budget, 2, 3 * SECOND));
+    }
+
     @Test
     void theReturnIsATrickleAndFlappingWaitsLonger() {
         OwnSite own = new OwnSite(LIMITS, 0);
