--- a/src/main/java/pondridge/gateway/LinkFront.java
+++ b/src/main/java/pondridge/gateway/LinkFront.java
@@ -34,6 +34,7 @@
 import pondridge.core.Job;
 import pondridge.core.JobReader;
 import pondridge.core.Tried;
+import pondridge.http2.HeldBytes;
 
 /**
  * Where other sites' gateways come in: takes what they send across, once it is sure who they are and that it
@@ -116,7 +117,7 @@
 
     /** One stream: a beat, or one request and its answer. */
     private final class Visit extends SimpleChannelInboundHandler<FullHttpRequest> implements Client {
-        private final LinkBytes.Share share;
+        private final HeldBytes.Share share;
         private Channel stream;
         private String site;
         private String remembered;
@@ -126,7 +127,7 @@
         private Tried tried = new Tried(0, 0, false);
         private long journey;
 
-        Visit(LinkBytes.Share share) {
+        Visit(HeldBytes.Share share) {
             this.share = share;
         }
 
--- a/src/main/java/pondridge/gateway/LinkBytes.java
+++ b/src/main/java/pondridge/http2/HeldBytes.java
@@ -1,45 +1,44 @@
-package pondridge.gateway;
+package pondridge.http2;
 
 /**
- * What a gateway holds for links in bytes: of requests that have come whole or in part, and of answers that
- *  the
- * other side has not taken yet. Bounded over all connections, and for one at a quarter of that, so that a
+ * What a front holds in bytes: of requests that have come whole or in part, and of answers that the other
+ * side has not taken yet. Bounded over all connections, and for one at a quarter of that, so that a
  * peer that reads nothing, or ends nothing that it begins, takes no room from the others. No I/O, no clock;
  * of one thread.
  */
-final class LinkBytes {
+public final class HeldBytes {
     private static final int PARTS = 4;
     private final long most;
     private long held;
 
     /** Room for so many bytes. */
-    LinkBytes(long most) {
+    public HeldBytes(long most) {
         this.most = most;
     }
 
     /** Bytes that are held in all. */
-    long held() {
+    public long held() {
         return held;
     }
 
     /** A connection has come in. */
-    Share share() {
+    public Share share() {
         return new Share();
     }
 
     /** What one connection holds. */
-    final class Share {
+    public final class Share {
         private long its;
 
         private Share() { }
 
         /** Whether anything more may come by this connection. */
-        boolean room() {
+        public boolean room() {
             return its < most / PARTS && held < most;
         }
 
         /** Holds so many more, if there is room for them. */
-        boolean take(long bytes) {
+        public boolean take(long bytes) {
             if (its + bytes > most / PARTS || held + bytes > most) {
                 return false;
             }
@@ -48,18 +47,19 @@
         }
 
         /** Holds so many more in any case: an answer to what was taken is there and has to go. */
-        void add(long bytes) {
+        public void add(long bytes) {
             its += bytes;
             held += bytes;
         }
 
         /** Lets go of so many. */
-        void give(long bytes) {
+        public void give(long bytes) {
             its -= bytes;
             held -= bytes;
         }
 
-        long held() {
+        /** What it holds. */
+        public long held() {
             return its;
         }
     }
--- a/src/test/java/pondridge/RoomsTest.java
+++ b/src/test/java/pondridge/RoomsTest.java
@@ -57,7 +57,7 @@
     private static final String DECIDING =
             ".*\\.(StreamTable|Proof|Liveness|ResetBudget|FloodGuard|ProtocolChoice|ColdStart|Router|Trail"
             + "|LinkTimes|Pool|SharedRoom|CrossingBudget|StartTimes|OwnSite"
-            + "|Stamps|AnswerMemory|CreditControl|Log.LineBudget|LinkBytes|Threads|Keyspace|Commands"
+            + "|Stamps|AnswerMemory|CreditControl|Log.LineBudget|HeldBytes|Threads|Keyspace|Commands"
             + "|RequestParser|StoreCircuit|OwnSums|Members|Leases|Demand|Hearsay|ServerSum|Report)";
 
     @ArchTest
--- a/src/test/java/pondridge/gateway/DecidersTest.java
+++ b/src/test/java/pondridge/gateway/DecidersTest.java
@@ -14,6 +14,7 @@
 import pondridge.Balancer.State;
 import pondridge.core.Target;
 import pondridge.gateway.AnswerMemory.Verdict;
+import pondridge.http2.HeldBytes;
 
 /** What the far end of a link decides, without a link: the memory of answers, stamps, credit. */
 class DecidersTest {
@@ -153,14 +154,14 @@
     @Test
     void whatOneConnectionHoldsTakesNoRoomFromTheOthers() {
         Random random = new Random(5);
-        LinkBytes bytes = new LinkBytes(4_000);
-        List<LinkBytes.Share> shares = new ArrayList<>();
+        HeldBytes bytes = new HeldBytes(4_000);
+        List<HeldBytes.Share> shares = new ArrayList<>();
         for (int i = 0; i < 8; i++) {
             shares.add(bytes.share());
         }
         int turnedAway = 0;
         for (int i = 0; i < 20_000; i++) {
-            LinkBytes.Share share = shares.get(random.nextInt(8));
+            HeldBytes.Share share = shares.get(random.nextInt(8));
             long before = share.held();
             long more = random.nextInt(400);
             if (random.nextBoolean()) {
@@ -171,7 +172,7 @@
                 share.give(Math.min(before, more));
             }
             assertEquals(share.held() < 1_000 && bytes.held() < 4_000, share.room());
-            assertEquals(bytes.held(), shares.stream().mapToLong(LinkBytes.Share::held).sum());
+            assertEquals(bytes.held(), shares.stream().mapToLong(HeldBytes.Share::held).sum());
         }
         assertTrue(turnedAway > 1_000, "often full: " + turnedAway);
     }
