Speak gRPC with clients and servers, unary calls, under the core's one set of rules

Need: warehouse systems may come by gRPC and newer servers answer only in it; two paths under two sets of rules would repeat on one what the other refuses. Change: http2.Wording puts another protocol on the streams whose proof stands; grpc.GrpcWording, Verdict (a status alone never proves that nothing ran), MessageReader, GrpcFront behind http2.Door, which now asks connections to leave by age and at the end; [grpc] and [grpc_methods] for sidecar and gateway, off by default; the rig's servers speak gRPC, with four faults more. Without [grpc] no class of it is loaded.

--- a/src/main/java/pondridge/cli/Standin.java
+++ b/src/main/java/pondridge/cli/Standin.java
@@ -39,7 +39,7 @@
     static final class Server implements Callable<Integer> {
         @Spec
         private CommandSpec spec;
-        @Option(names = "--protocol", required = true, description = "http1 or http2")
+        @Option(names = "--protocol", required = true, description = "http1, http2 or grpc")
         private String protocol;
         @Option(names = "--listen", required = true, paramLabel = "ADDRESS:PORT",
                 description = "a loopback address and a port")
@@ -61,7 +61,8 @@
             StandinServer.Protocol speaks = switch (protocol) {
                 case "http1" -> StandinServer.Protocol.HTTP1;
                 case "http2" -> StandinServer.Protocol.HTTP2;
-                default -> throw wrong("--protocol: expected http1 or http2, found " + protocol);
+                case "grpc" -> StandinServer.Protocol.GRPC;
+                default -> throw wrong("--protocol: expected http1, http2 or grpc, found " + protocol);
             };
             Map<Fault, Double> shares;
             try {
--- a/src/main/java/pondridge/gateway/Gateway.java
+++ b/src/main/java/pondridge/gateway/Gateway.java
@@ -26,6 +26,8 @@
 import pondridge.core.JobReader;
 import pondridge.core.Target;
 import pondridge.core.Transport;
+import pondridge.grpc.GrpcFront;
+import pondridge.grpc.GrpcSettings;
 import pondridge.http1.Frontend;
 import pondridge.http2.Dialler;
 import pondridge.http2.Http2Upstreams;
@@ -45,6 +47,7 @@
     private final Dispatcher dispatcher;
     private final Frontend frontend;
     private final LinkFront linkFront;
+    private final GrpcFront grpc;
     private final Map<String, FarSite> others = new LinkedHashMap<>();
     private final Map<String, State> servers = new HashMap<>();
     private final StartTimes starts;
@@ -96,6 +99,10 @@
         this.dispatcher = new Dispatcher(loop, settings.site(), router, ownSite, own, others, reader,
                 link.freshness(), clock);
         this.frontend = new Frontend(dispatcher, options, mostOpen);
+        GrpcSettings spoken = settings.upstreams().grpc();
+        this.grpc = spoken == null || spoken.listen() == null ? null
+                : new GrpcFront(loop, spoken, options, dispatcher, Long.toHexString(random.nextLong()),
+                        log::warn);
         this.linkFront = new LinkFront(loop, link, tls, settings.sites().keySet(), dispatcher, reader,
                 random.nextLong(), log, clock);
     }
@@ -132,13 +139,18 @@
         CompletableFuture<Doors> started = new CompletableFuture<>();
         ChannelFuture forSites = linkFront.listen();
         ChannelFuture forClients = frontend.listen(loop, listen);
-        forSites.addListener(done -> forClients.addListener(also -> {
-            Throwable cause = done.isSuccess() ? also.cause() : done.cause();
+        ChannelFuture forGrpc = grpc == null ? forClients : grpc.listen();
+        forSites.addListener(done -> forClients.addListener(also -> forGrpc.addListener(third -> {
+            Throwable cause = !done.isSuccess() ? done.cause() : also.isSuccess() ? third.cause()
+                    : also.cause();
             if (cause != null) {
                 started.completeExceptionally(new IOException("listening failed: " + cause.getMessage()));
                 return;
             }
             frontend.ready();
+            if (grpc != null) {
+                grpc.ready(true);
+            }
             if (tls != null) {
                 loop.scheduleWithFixedDelay(this::refresh, look, look, TimeUnit.NANOSECONDS);
             }
@@ -146,7 +158,7 @@
                     (InetSocketAddress) forSites.channel().localAddress());
             log.info("started", "", "clients at " + doors.clients + ", sites at " + doors.sites);
             started.complete(doors);
-        }));
+        })));
         return started;
     }
 
@@ -215,12 +227,18 @@
     public void drain() {
         linkFront.drain();
         frontend.drain();
+        if (grpc != null) {
+            grpc.drain();
+        }
     }
 
     /** Ends the listening and the links; what is open there ends with them. */
     public void close() {
         frontend.close();
         linkFront.close();
+        if (grpc != null) {
+            grpc.close();
+        }
         if (store != null) {
             store.close();
         }
--- a/src/main/java/pondridge/gateway/GatewaySettings.java
+++ b/src/main/java/pondridge/gateway/GatewaySettings.java
@@ -142,7 +142,8 @@
         });
         long clockError = gateway.time("clock_error", "1s", "0ms", "10min");
         return new GatewaySettings(file.name(), site, platform, clockError, link(file, folder), limits, sites,
-                TransportSettings.of(file), file.has("store") ? StoreSettings.of(file, folder) : null);
+                TransportSettings.of(file, folder), file.has("store") ? StoreSettings.of(file, folder)
+                        : null);
     }
 
     private static CrossingBudget.Rate rate(Section section, double perSecond, double burst) {
--- a/src/main/java/pondridge/gateway/LinkDoor.java
+++ b/src/main/java/pondridge/gateway/LinkDoor.java
@@ -44,7 +44,7 @@
         this.log = log;
         this.door = new Door(loop, new Door.Limits(link.listen(), link.connections(), link.streams(),
                 link.idle(),
-                LARGEST_HEADERS, link.http2().controlFrames(), link.heldBytes()), "link",
+                LARGEST_HEADERS, link.http2().controlFrames(), link.heldBytes(), 0, 0), "link",
                 tls == null ? null : tls::server, log::warn, clock, (stream, share) -> opened(stream, share,
                         visits));
     }
--- /dev/null
+++ b/src/main/java/pondridge/grpc/GrpcCode.java
@@ -0,0 +1,31 @@
+package pondridge.grpc;
+
+/** Status codes of gRPC (gRPC core documentation, "Status codes and their use in gRPC"), by their numbers. */
+public enum GrpcCode {
+    OK, CANCELLED, UNKNOWN, INVALID_ARGUMENT, DEADLINE_EXCEEDED, NOT_FOUND, ALREADY_EXISTS, PERMISSION_DENIED,
+    RESOURCE_EXHAUSTED, FAILED_PRECONDITION, ABORTED, OUT_OF_RANGE, UNIMPLEMENTED, INTERNAL, UNAVAILABLE,
+    DATA_LOSS, UNAUTHENTICATED;
+
+    private static final GrpcCode[] ALL = values();
+
+    /** The number as it stands in {@code grpc-status}. */
+    String number() {
+        return Integer.toString(ordinal());
+    }
+
+    /** The code that a {@code grpc-status} tells; null where it tells none. */
+    static GrpcCode of(CharSequence text) {
+        if (text == null || text.isEmpty() || text.length() > 2) {
+            return null;
+        }
+        int number = 0;
+        for (int i = 0; i < text.length(); i++) {
+            int digit = text.charAt(i) - '0';
+            if (digit < 0 || digit > 9) {
+                return null;
+            }
+            number = 10 * number + digit;
+        }
+        return number < ALL.length ? ALL[number] : null;
+    }
+}
--- a/src/main/java/pondridge/http2/Connection.java
+++ b/src/main/java/pondridge/http2/Connection.java
@@ -136,7 +136,7 @@
         floods.explain(EXPLAINED);
         int id = table.open(attempt);
         attempt.placed(this, id);
-        byte[] body = attempt.job().body();
+        byte[] body = pool.wording().body(attempt.job());
         boolean whole = body.length == 0;
         ChannelPromise head = context.newPromise();
         head.addListener(done -> {
@@ -144,7 +144,7 @@
                 apply(table.unsendable(id));
             }
         });
-        handler.encoder().writeHeaders(context, id, Messages.request(attempt.job(), attempt.left(now)), 0,
+        handler.encoder().writeHeaders(context, id, pool.wording().head(attempt.job(), attempt.left(now)), 0,
                 whole, head);
         if (!whole && table.attempt(id) != null) {
             handler.encoder().writeData(context, id, Unpooled.wrappedBuffer(body), 0, true,
@@ -308,7 +308,10 @@
                 apply(table.spoilt(id));
                 return;
             }
-            attempt.begin(through, Messages.text(headers, LOAD));
+            attempt.begin(headers, through, Messages.text(headers, LOAD));
+        }
+        if (attempt != null && attempt.body() != null && status == 0) {
+            attempt.trailers(headers);
         }
         apply(table.head(id, status, "1".equals(Messages.text(headers, DECLINED)), end));
     }
--- a/src/main/java/pondridge/http2/Door.java
+++ b/src/main/java/pondridge/http2/Door.java
@@ -10,6 +10,9 @@
 import io.netty.channel.ChannelOption;
 import io.netty.channel.EventLoop;
 import io.netty.channel.socket.nio.NioServerSocketChannel;
+import io.netty.handler.codec.http2.DefaultHttp2GoAwayFrame;
+import io.netty.handler.codec.http2.Http2Error;
+import io.netty.handler.codec.http2.Http2FrameCodec;
 import io.netty.handler.codec.http2.Http2FrameCodecBuilder;
 import io.netty.handler.codec.http2.Http2MultiplexHandler;
 import io.netty.handler.codec.http2.Http2Settings;
@@ -17,7 +20,12 @@
 import io.netty.handler.timeout.IdleStateEvent;
 import io.netty.handler.timeout.IdleStateHandler;
 import io.netty.util.ReferenceCountUtil;
+import io.netty.util.concurrent.Future;
 import java.net.InetSocketAddress;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Random;
+import java.util.Set;
 import java.util.concurrent.TimeUnit;
 import java.util.function.BiConsumer;
 import java.util.function.Function;
@@ -32,6 +40,8 @@
     private static final int RESETS = 200;
     private static final int RESETS_SECONDS = 30;
     private static final long SECOND = 1_000_000_000;
+    /** Between the two GOAWAYs: a round trip, and a little. */
+    private static final long PAIR = 100_000_000;
 
     /**
      * Its bounds; times in nanoseconds.
@@ -42,9 +52,11 @@
      * @param headerBytes of one request
      * @param controlFrames frames a second that bring nothing, from one connection
      * @param heldBytes see {@link HeldBytes}
+     * @param age after which one is asked to leave, give or take a tenth; 0 for never
+     * @param grace how long one that was asked to leave may stay, for what is open on it
      */
     public record Limits(InetSocketAddress listen, int connections, int streams, long idle, int headerBytes,
-            int controlFrames, long heldBytes) { }
+            int controlFrames, long heldBytes, long age, long grace) { }
 
     /** Told what an operator should know, at whatever rate it happens. */
     @FunctionalInterface
@@ -61,7 +73,8 @@
     private final LongSupplier clock;
     private final BiConsumer<Channel, HeldBytes.Share> streams;
     private final HeldBytes bytes;
-    private int connections;
+    private final Set<Channel> in = new HashSet<>();
+    private final Random random = new Random();
     private Channel server;
 
     /**
@@ -101,7 +114,34 @@
 
     /** Connections that are in. */
     public int connections() {
-        return connections;
+        return in.size();
+    }
+
+    /**
+     * Asks all that are in to leave (RFC 9113, section 6.8): first without a last stream, so that nothing
+     * which is on its way is lost, then with it; who has nothing open is closed, and everybody after the
+     * grace.
+     */
+    public void leave() {
+        List.copyOf(in).forEach(this::leave);
+    }
+
+    private void leave(Channel channel) {
+        channel.writeAndFlush(new DefaultHttp2GoAwayFrame(Http2Error.NO_ERROR)
+                .setExtraStreamIds(Integer.MAX_VALUE));
+        loop.schedule(() -> {
+            channel.writeAndFlush(new DefaultHttp2GoAwayFrame(Http2Error.NO_ERROR));
+            closeWhenDone(channel, clock.getAsLong() + limits.grace());
+        }, PAIR, TimeUnit.NANOSECONDS);
+    }
+
+    private void closeWhenDone(Channel channel, long until) {
+        Http2FrameCodec codec = channel.pipeline().get(Http2FrameCodec.class);
+        if (codec == null || codec.connection().numActiveStreams() == 0 || clock.getAsLong() - until >= 0) {
+            channel.close();
+        } else if (channel.isActive()) {
+            loop.schedule(() -> closeWhenDone(channel, until), PAIR, TimeUnit.NANOSECONDS);
+        }
     }
 
     /** Bytes of requests and answers that are held. */
@@ -115,13 +155,19 @@
     }
 
     private void cameIn(Channel made) {
-        if (connections >= limits.connections()) {
+        if (in.size() >= limits.connections()) {
             events.warn(name + "_full", made.remoteAddress().toString(), "no more connections are taken");
             made.close();
             return;
         }
-        connections++;
-        made.closeFuture().addListener(closed -> connections--);
+        in.add(made);
+        made.closeFuture().addListener(closed -> in.remove(made));
+        if (limits.age() > 0) {
+            // Not all at once: those that came together would all come again together.
+            Future<?> old = loop.schedule(() -> leave(made),
+                    (long) (limits.age() * (0.9 + 0.2 * random.nextDouble())), TimeUnit.NANOSECONDS);
+            made.closeFuture().addListener(closed -> old.cancel(false));
+        }
         if (tls != null) {
             made.pipeline().addLast(tls.apply(made));
         }
--- a/src/main/java/pondridge/http2/Http2Upstreams.java
+++ b/src/main/java/pondridge/http2/Http2Upstreams.java
@@ -17,6 +17,7 @@
 import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
 import java.util.function.LongConsumer;
+import pondridge.Balancer.Outcome;
 import pondridge.Options;
 import pondridge.core.Job;
 import pondridge.core.LoadReports;
@@ -46,6 +47,7 @@
     private final Dialler dialler;
     private final ServerPool nobody;
     private final Future<?> looking;
+    private Wording wording = Wording.HTTP;
     private LongConsumer http1Wanted = upstream -> { };
     private long held;
 
@@ -59,6 +61,12 @@
         this(loop, settings, options, Proof.RFC9113, 1, dialler);
     }
 
+    /** The same for servers that are spoken to in another form than HTTP's own. */
+    public Http2Upstreams(EventLoop loop, Options settings, Http2Options options, Wording wording) {
+        this(loop, settings, options, Proof.RFC9113, 1);
+        this.wording = wording;
+    }
+
     /** With other rules of proof and another first stream: for tests. */
     Http2Upstreams(EventLoop loop, Options settings, Http2Options options, Proof proof, int firstStream) {
         this(loop, settings, options, proof, firstStream, (address, timeoutMs, initializer) ->
@@ -117,6 +125,10 @@
 
     @Override
     public Transport.Attempt send(long upstream, Job job, long wait, Listener listener) {
+        if (!wording.fits(job)) {
+            listener.ended(Outcome.NEVER_SENT, null, LoadReports.NONE);
+            return () -> { };
+        }
         ServerPool pool = pools.getOrDefault(upstream, nobody);
         Sending attempt = new Sending(pool, job, System.nanoTime() + wait, listener);
         attempt.timer(loop.schedule(attempt::late, wait, TimeUnit.NANOSECONDS));
@@ -158,6 +170,10 @@
         return loop;
     }
 
+    Wording wording() {
+        return wording;
+    }
+
     LoadReports reports() {
         return reports;
     }
--- a/src/main/java/pondridge/http2/Sending.java
+++ b/src/main/java/pondridge/http2/Sending.java
@@ -2,10 +2,10 @@
 
 import io.netty.handler.codec.http.HttpHeaders;
 import io.netty.util.concurrent.Future;
+import io.netty.handler.codec.http2.Http2Headers;
 import java.io.ByteArrayOutputStream;
 import java.nio.charset.StandardCharsets;
 import pondridge.Balancer.Outcome;
-import pondridge.core.Answer;
 import pondridge.core.Job;
 import pondridge.core.LoadReports;
 import pondridge.core.Transport;
@@ -20,6 +20,8 @@
     private Connection connection;
     private int stream;
     private HttpHeaders headers;
+    private Http2Headers head;
+    private Http2Headers trailers;
     private String load;
     private ByteArrayOutputStream body;
     private boolean over;
@@ -54,12 +56,18 @@
         stream = id;
     }
 
-    void begin(HttpHeaders answer, String report) {
+    void begin(Http2Headers whole, HttpHeaders answer, String report) {
+        head = whole;
         headers = answer;
         load = report;
         body = new ByteArrayOutputStream(256);
     }
 
+    /** What came behind the answer's body. */
+    void trailers(Http2Headers last) {
+        trailers = last;
+    }
+
     /** The answer's body so far; null before its head has come. */
     ByteArrayOutputStream body() {
         return body;
@@ -88,18 +96,20 @@
     }
 
     /** Ends it, once, and tells. */
-    void end(Outcome outcome, LoadReports reports) {
+    void end(Outcome told, LoadReports reports, Wording wording) {
         if (over) {
             return;
         }
+        Wording.Ended ended = told == Outcome.OK
+                ? wording.answer(job, head, headers, body.toByteArray(), trailers) : new Wording.Ended(told,
+                        null);
         over = true;
         if (timer != null) {
             timer.cancel(false);
         }
         float[] report = body == null ? LoadReports.NONE
                 : reports.read(load, job.uri(), () -> body.toString(StandardCharsets.UTF_8));
-        Answer answer = outcome == Outcome.OK ? new Answer(headers, body.toByteArray()) : null;
         body = null;
-        listener.ended(outcome, answer, report);
+        listener.ended(ended.outcome(), ended.answer(), report);
     }
 }
--- a/src/main/java/pondridge/http2/ServerPool.java
+++ b/src/main/java/pondridge/http2/ServerPool.java
@@ -205,6 +205,10 @@
         all.wantsHttp1(this);
     }
 
+    Wording wording() {
+        return all.wording();
+    }
+
     boolean hold(int bytes) {
         return all.hold(bytes);
     }
@@ -213,7 +217,7 @@
     void ended(Sending attempt, Outcome outcome) {
         if (!attempt.over()) {
             all.release(attempt.bodyBytes());
-            attempt.end(outcome, all.reports());
+            attempt.end(outcome, all.reports(), all.wording());
         }
     }
 
--- a/src/main/java/pondridge/sidecar/Main.java
+++ b/src/main/java/pondridge/sidecar/Main.java
@@ -123,14 +123,17 @@
         Discovery discovery = new Discovery(loop, config.discovery(), config.known().rev(), engine::listed);
         Frontend frontend = new Frontend(engine, config.options(), config.mostClients());
         engine.start(discovery, config.known().targets());
+        SecondFront second = settings == null || settings.grpc() == null ? SecondFront.NONE
+                : new SecondFront.Grpc(loop, settings.grpc(), config, engine);
         // Only where discovery is; all else stays as it was at the start.
         running.complete(read -> loop.execute(() -> discovery.move(read.discovery())));
+        second.listen();
         ChannelFuture bound = frontend.listen(group, config.listen());
         bound.addListener(done -> {
             if (done.isSuccess()) {
-                endAtSigterm(loop, config, engine, frontend);
+                endAtSigterm(loop, config, engine, frontend, second);
                 WarmUp.run(loop, config.options(), (InetSocketAddress) bound.channel().localAddress(),
-                        rehearsal ? Main::end : () -> ready(config, frontend));
+                        rehearsal ? Main::end : () -> ready(config, frontend, second));
             } else {
                 System.err.println("pondridge: listen: " + done.cause().getMessage());
                 Runtime.getRuntime().halt(1);
@@ -138,8 +141,9 @@
         });
     }
 
-    private static void ready(Config config, Frontend frontend) {
+    private static void ready(Config config, Frontend frontend, SecondFront second) {
         frontend.ready();
+        second.ready();
         System.err.println("pondridge: " + config.name() + " ready at " + config.listen());
     }
 
@@ -149,15 +153,18 @@
     }
 
     /** The hook holds the process until all is answered, or as long as the longest request may take. */
-    private static void endAtSigterm(EventLoop loop, Config config, Engine engine, Frontend frontend) {
+    private static void endAtSigterm(EventLoop loop, Config config, Engine engine, Frontend frontend,
+            SecondFront second) {
         long longest = config.options().settings().classes().stream()
                 .mapToLong(RequestClass::deadline).max().orElse(0) / 1_000_000;
         Runtime.getRuntime().addShutdownHook(new Thread(() -> {
             CountDownLatch done = new CountDownLatch(1);
             loop.execute(frontend::drain);
+            loop.execute(second::drain);
+            loop.schedule(second::close, ACCEPT_MS, TimeUnit.MILLISECONDS);
             loop.schedule(frontend::close, ACCEPT_MS, TimeUnit.MILLISECONDS);
             loop.scheduleWithFixedDelay(() -> {
-                if (frontend.empty() && engine.idle()) {
+                if (frontend.empty() && engine.idle() && second.idle()) {
                     done.countDown();
                 }
             }, ACCEPT_MS, POLL_MS, TimeUnit.MILLISECONDS);
--- a/src/main/java/pondridge/sidecar/SidecarSettings.java
+++ b/src/main/java/pondridge/sidecar/SidecarSettings.java
@@ -1,6 +1,7 @@
 package pondridge.sidecar;
 
 import java.nio.file.Path;
+import pondridge.grpc.GrpcSettings;
 import pondridge.settings.SettingsFile;
 import pondridge.store.StoreSettings;
 import pondridge.transport.TransportSettings;
@@ -12,10 +13,16 @@
  * @param store what is shared with other sidecars; null for nothing
  */
 public record SidecarSettings(TransportSettings upstreams, StoreSettings store) {
+    /** What gRPC clients come in by; null where none are to. */
+    GrpcSettings grpc() {
+        return upstreams.grpc() == null || upstreams.grpc().listen() == null ? null : upstreams.grpc();
+    }
+
     /** Reads a whole file; any mistake is a {@link pondridge.settings.SettingsException}. */
     public static SidecarSettings read(Path path) {
         SettingsFile file = SettingsFile.read(path);
-        SidecarSettings read = new SidecarSettings(TransportSettings.of(file),
+        SidecarSettings read = new SidecarSettings(TransportSettings.of(file,
+                path.toAbsolutePath().getParent()),
                 file.has("store") ? StoreSettings.of(file, path.toAbsolutePath().getParent()) : null);
         file.finish();
         return read;
--- a/src/main/java/pondridge/standin/Desk.java
+++ b/src/main/java/pondridge/standin/Desk.java
@@ -38,6 +38,28 @@
         return new Order(text(id), OrderClass.named(text(kind)), text(key));
     }
 
+    /** The class that a gRPC path names: its method is the class's name without dashes. */
+    static CharSequence kind(CharSequence path) {
+        String method = path == null ? "" : path.toString().substring(path.toString().lastIndexOf('/') + 1);
+        return OrderClass.USUAL.stream().map(OrderClass::name).filter(name -> name.replace("-",
+                "").equals(method))
+                .findFirst().orElse("");
+    }
+
+    /** A body as gRPC's message, or as what a fault makes of it. */
+    static byte[] framed(byte[] body, Fault fault) {
+        int times = fault == Fault.TWO_MESSAGES ? 2 : 1;
+        byte[] framed = new byte[times * (5 + body.length)];
+        for (int i = 0; i < times; i++) {
+            int at = i * (5 + body.length);
+            int told = body.length + (fault == Fault.CUT_MESSAGE ? 1 : 0);
+            framed[at + 3] = (byte) (told >> 8);
+            framed[at + 4] = (byte) told;
+            System.arraycopy(body, 0, framed, at + 5, body.length);
+        }
+        return framed;
+    }
+
     private static String text(CharSequence header) {
         return header == null ? "" : header.toString();
     }
--- a/src/main/java/pondridge/standin/Fault.java
+++ b/src/main/java/pondridge/standin/Fault.java
@@ -39,5 +39,13 @@
     /** Runs, and is answered with interim answers ahead and trailers behind. */
     ADORNED,
     /** Runs, and is answered whole; then the stream is reset with NO_ERROR. */
-    RESET_AFTER_ANSWER
+    RESET_AFTER_ANSWER,
+    /** gRPC: runs, and the answer ends with no status; elsewhere no fault, like the next three. */
+    NO_STATUS,
+    /** gRPC: runs; the message is shorter than its prefix says, and the status is OK. */
+    CUT_MESSAGE,
+    /** gRPC: runs, and is answered by two messages. */
+    TWO_MESSAGES,
+    /** gRPC: runs, and is answered by something that is no gRPC. */
+    WRONG_TYPE
 }
--- a/src/main/java/pondridge/standin/Http2Standin.java
+++ b/src/main/java/pondridge/standin/Http2Standin.java
@@ -29,24 +29,31 @@
     private int last = Integer.MAX_VALUE;
     private int lastNamed = Integer.MAX_VALUE;
     private boolean silent;
+    private final boolean grpc;
 
     private Http2Standin(Http2ConnectionDecoder decoder, Http2ConnectionEncoder encoder,
-            Http2Settings settings, Desk desk, Runnable fall) {
+            Http2Settings settings, Desk desk, Runnable fall, boolean grpc) {
         super(decoder, encoder, settings, true);
+        this.grpc = grpc;
         this.desk = desk;
         this.fall = fall;
     }
 
-    /** A handler for one connection; {@code fall} ends the server's process. */
-    static Http2Standin handler(Desk desk, Runnable fall, Http2Settings settings) {
-        return new Builder(desk, fall, settings).build();
+    /**
+     * A handler for one connection; {@code fall} ends the server's process. {@code grpc}: speaks gRPC over
+     * it.
+     */
+    static Http2Standin handler(Desk desk, Runnable fall, Http2Settings settings, boolean grpc) {
+        return new Builder(desk, fall, settings, grpc).build();
     }
 
     private static final class Builder extends AbstractHttp2ConnectionHandlerBuilder<Http2Standin, Builder> {
         private final Desk desk;
         private final Runnable fall;
+        private final boolean grpc;
 
-        Builder(Desk desk, Runnable fall, Http2Settings settings) {
+        Builder(Desk desk, Runnable fall, Http2Settings settings, boolean grpc) {
+            this.grpc = grpc;
             this.desk = desk;
             this.fall = fall;
             server(true);
@@ -63,7 +70,7 @@
         @Override
         protected Http2Standin build(Http2ConnectionDecoder decoder, Http2ConnectionEncoder encoder,
                 Http2Settings settings) {
-            Http2Standin handler = new Http2Standin(decoder, encoder, settings, desk, fall);
+            Http2Standin handler = new Http2Standin(decoder, encoder, settings, desk, fall, grpc);
             frameListener(handler.new Listener());
             return handler;
         }
@@ -134,8 +141,8 @@
         @Override
         public void onHeadersRead(ChannelHandlerContext ctx, int id, Http2Headers headers, int padding,
                 boolean end) {
-            Desk.Order order = Desk.order(headers.get("req-id"), headers.get("req-kind"),
-                    headers.get("idempotency-key"));
+            CharSequence kind = grpc ? Desk.kind(headers.path()) : headers.get("req-kind");
+            Desk.Order order = Desk.order(headers.get("req-id"), kind, headers.get("idempotency-key"));
             desk.arrived(order);
             coming.put(id, order);
             if (end) {
@@ -172,7 +179,7 @@
             case REFUSE -> reset(id, Http2Error.REFUSED_STREAM);
             case RESET_UNRUN -> reset(id, Http2Error.CANCEL);
             case DECLINE -> {
-                Http2Headers head = new DefaultHttp2Headers().status("503");
+                Http2Headers head = grpc ? status("14") : new DefaultHttp2Headers().status("503");
                 head.set("srv-declined", "1");
                 encoder().writeHeaders(context, id, head, 0, true, context.newPromise());
                 flush(context);
@@ -226,25 +233,42 @@
         }
     }
 
+    /** All of an answer of gRPC that has no message. */
+    private static Http2Headers status(String code) {
+        return new DefaultHttp2Headers().status("200").set("content-type", "application/grpc")
+                .set("grpc-status", code);
+    }
+
     private void reply(int id, Desk.Order order, Fault fault) {
         if (connection().stream(id) == null) {
             return;
         }
-        byte[] body = Desk.body(order);
+        if (grpc && fault == Fault.ERROR) {
+            // Run, and then said to be unavailable, as a server does that fails half-way.
+            encoder().writeHeaders(context, id, status("14"), 0, true, context.newPromise());
+            flush(context);
+            return;
+        }
+        byte[] body = grpc ? Desk.framed(Desk.body(order), fault) : Desk.body(order);
         boolean half = fault == Fault.HALF || fault == Fault.HALF_CLOSE;
-        boolean trailers = fault == Fault.ADORNED;
-        if (trailers) {
+        boolean trailers = grpc && fault != Fault.NO_STATUS || fault == Fault.ADORNED;
+        if (fault == Fault.ADORNED) {
             encoder().writeHeaders(context, id, new DefaultHttp2Headers().status("103"), 0, false,
                     context.newPromise());
         }
         Http2Headers head = new DefaultHttp2Headers().status(fault == Fault.ERROR ? "500" : "200");
-        head.setInt("content-length", body.length);
+        if (grpc) {
+            head.set("content-type", fault == Fault.WRONG_TYPE ? "text/html" : "application/grpc");
+        } else {
+            head.setInt("content-length", body.length);
+        }
         encoder().writeHeaders(context, id, head, 0, false, context.newPromise());
         int length = half ? body.length / 2 : body.length;
         encoder().writeData(context, id, Unpooled.wrappedBuffer(body, 0, length), 0, !half && !trailers,
                 context.newPromise());
-        if (trailers) {
-            encoder().writeHeaders(context, id, new DefaultHttp2Headers().add("checked", "yes"), 0, true,
+        if (trailers && !half) {
+            Http2Headers last = new DefaultHttp2Headers().add("checked", "yes");
+            encoder().writeHeaders(context, id, grpc ? last.set("grpc-status", "0") : last, 0, true,
                     context.newPromise());
         }
         flush(context);
--- a/src/main/java/pondridge/standin/StandinServer.java
+++ b/src/main/java/pondridge/standin/StandinServer.java
@@ -17,12 +17,12 @@
 import java.util.concurrent.locks.LockSupport;
 
 /**
- * An order server that is none: speaks HTTP/1.1 or HTTP/2 (by prior knowledge) on a loopback address,
+ * An order server that is none: speaks HTTP/1.1, HTTP/2 (by prior knowledge) or gRPC on a loopback address,
  * answers {@code /api}, and misbehaves by script. Its methods may be called on any thread but its own loop.
  */
 public final class StandinServer implements AutoCloseable {
     /** What it speaks. */
-    public enum Protocol { HTTP1, HTTP2 }
+    public enum Protocol { HTTP1, HTTP2, GRPC }
 
     /**
      * What a server is.
@@ -96,7 +96,8 @@
             Http1Standin.into(made.pipeline(), desk, this::fall);
         } else {
             made.pipeline().addLast(Http2Standin.handler(desk, this::fall, new Http2Settings()
-                    .maxConcurrentStreams(streams).initialWindowSize(setup.window())));
+                    .maxConcurrentStreams(streams).initialWindowSize(setup.window()),
+                    protocol == Protocol.GRPC));
         }
     }
 
--- a/src/main/java/pondridge/transport/MixedUpstreams.java
+++ b/src/main/java/pondridge/transport/MixedUpstreams.java
@@ -15,6 +15,7 @@
 import pondridge.core.LoadReports;
 import pondridge.core.Transport;
 import pondridge.http1.Upstreams;
+import pondridge.grpc.GrpcWording;
 import pondridge.http2.Http2Upstreams;
 import pondridge.http2.Learned;
 import pondridge.transport.TransportSettings.Protocol;
@@ -61,6 +62,10 @@
         if (settings.protocol() == Protocol.HTTP1) {
             return new Upstreams(loop, options, most);
         }
+        if (settings.protocol() == Protocol.GRPC) {
+            return new Http2Upstreams(loop, options, settings.http2(), new GrpcWording(settings.grpc(),
+                    options));
+        }
         Http2Upstreams http2 = new Http2Upstreams(loop, options, settings.http2());
         if (settings.protocol() == Protocol.HTTP2) {
             return http2;
--- a/src/test/java/pondridge/RoomsTest.java
+++ b/src/test/java/pondridge/RoomsTest.java
@@ -20,6 +20,7 @@
             .layer("http1").definedBy("pondridge.http1")
             .layer("pool").definedBy("pondridge.pool")
             .layer("http2").definedBy("pondridge.http2")
+            .layer("grpc").definedBy("pondridge.grpc")
             .layer("transport").definedBy("pondridge.transport")
             .layer("gateway").definedBy("pondridge.gateway")
             .layer("standin").definedBy("pondridge.standin..")
@@ -34,16 +35,18 @@
             .whereLayer("http1").mayOnlyAccessLayers("module", "core")
             .whereLayer("pool").mayNotAccessAnyLayer()
             .whereLayer("http2").mayOnlyAccessLayers("module", "core", "settings", "pool")
-            .whereLayer("transport").mayOnlyAccessLayers("module", "core", "settings", "http1", "http2")
+            .whereLayer("grpc").mayOnlyAccessLayers("module", "core", "settings", "http2")
+            .whereLayer("transport").mayOnlyAccessLayers("module", "core", "settings", "http1", "http2",
+                    "grpc")
             .whereLayer("gateway").mayOnlyAccessLayers("module", "core", "settings", "http1", "http2",
-                    "transport", "store")
+                    "transport", "store", "grpc")
             .whereLayer("store").mayOnlyAccessLayers("module", "core", "settings")
             .whereLayer("demo").mayOnlyBeAccessedByLayers("cli")
             .whereLayer("standin").mayNotAccessAnyLayer()
             .whereLayer("standin").mayOnlyBeAccessedByLayers("cli", "demo")
             .whereLayer("platform").mayOnlyAccessLayers("module", "core")
             .whereLayer("sidecar").mayOnlyAccessLayers("module", "core", "http1", "platform", "transport",
-                    "settings", "store")
+                    "settings", "store", "grpc")
             .whereLayer("sidecar").mayOnlyBeAccessedByLayers("cli")
             .whereLayer("cli").mayNotBeAccessedByAnyLayer();
 
@@ -58,7 +61,8 @@
             ".*\\.(StreamTable|Proof|Liveness|ResetBudget|FloodGuard|ProtocolChoice|ColdStart|Router|Trail"
             + "|LinkTimes|Pool|SharedRoom|CrossingBudget|StartTimes|OwnSite"
             + "|Stamps|AnswerMemory|CreditControl|Log.LineBudget|HeldBytes|Threads|Keyspace|Commands"
-            + "|RequestParser|StoreCircuit|OwnSums|Members|Leases|Demand|Hearsay|ServerSum|Report)";
+            + "|RequestParser|StoreCircuit|OwnSums|Members|Leases|Demand|Hearsay|ServerSum"
+            + "|Report|GrpcCode|GrpcTimeout|MessageReader|FinalCode|MethodTable)";
 
     @ArchTest
     static final ArchRule DECIDERS = noClasses().that().haveNameMatching(DECIDING).should()
--- a/src/test/java/pondridge/bench/Bench.java
+++ b/src/test/java/pondridge/bench/Bench.java
@@ -10,9 +10,10 @@
             case "http2" -> new Http2Bench().run();
             case "gateway" -> new GatewayBench().run();
             case "store" -> new StoreBench().run();
+            case "grpc" -> new GrpcBench().run();
             case "gateway-soak" -> new GatewaySoak().run();
             default -> {
-                System.err.println("bench: expected -Dbench=http2, gateway, gateway-soak or store");
+                System.err.println("bench: expected -Dbench=http2, gateway, gateway-soak, grpc or store");
                 System.exit(2);
             }
         }
--- a/src/test/java/pondridge/cli/BankflowTest.java
+++ b/src/test/java/pondridge/cli/BankflowTest.java
@@ -46,9 +46,11 @@
                 "[http2]\nwating = 1", "http2.wating: unknown key",
                 "[http3]\nx = 1", "http3: unknown section"));
         mistakes.putAll(Map.of(
-                "[upstreams]\nprotocol = \"spdy\"", "upstreams.protocol: expected one of http1, http2, auto",
+                "[upstreams]\nprotocol = \"spdy\"",
+                        "upstreams.protocol: expected one of http1, http2, auto, grpc",
                 "[http2]\nconnections = 2", "http2.connections: fewer than connections_per_server",
                 "http2 = 3", "http2: expected a section",
+                "[upstreams]\nprotocol = \"grpc\"", "upstreams.protocol: grpc needs [grpc] and methods",
                 "[store]\naddress = \"there\"", "store.address: expected an address and a port",
                 "[store]\nslot = \"1s\"", "store.slot: less than 5/4 of period",
                 "[store]\nsecurity = \"tls\"\nauthorities = \"none.pem\"",
@@ -60,6 +62,17 @@
             assertTrue(told.startsWith(file + ": " + each.getValue()), told);
             assertEquals(1, told.lines().count(), told);
         }
+        for (String[] each : new String[][] {{"listen = \"0.0.0.0:1\"\nsecurity = \"plain\"",
+                "grpc.security: plain"},
+                {"listen = \"127.0.0.1:1\"", "grpc.certificate: expected a text"},
+                {"declines = [\"BUSY\"]", "grpc.declines: no status code of gRPC: BUSY"},
+                {"tenant = \"grpc-x\"", "grpc.tenant: expected a name of text metadata"},
+                {"[grpc_methods.m]\npath = \"a/b\"\nclass = \"c\"\nuri = \"/api\"",
+                        "grpc_methods.m.path: expected"}}) {
+            Path file = Files.writeString(folder.resolve("x.toml"), "[grpc]\n" + each[0]);
+            String told = errors(2, "check", file.toString());
+            assertTrue(told.startsWith(file + ": " + each[1]), told);
+        }
         assertTrue(errors(2, "check", folder.resolve("none").toString()).contains("can't be read"));
     }
 
@@ -85,7 +98,7 @@
         assertTrue(errors(2, "standin", "server", "--protocol", "http2", "--listen", "192.0.2.1:80")
                 .contains("expected a loopback address"));
         assertTrue(errors(2, "standin", "server", "--protocol", "spdy", "--listen", "127.0.0.1:0")
-                .contains("expected http1 or http2"));
+                .contains("expected http1, http2 or grpc"));
         assertTrue(errors(2, "standin", "server", "--protocol", "http2", "--listen", "127.0.0.1:0", "--fault",
                 "sulk=1").contains("unknown fault: sulk"));
         assertEquals("", errors(0, "standin", "server", "--protocol", "http2", "--listen", "127.0.0.1:0",
--- a/src/test/java/pondridge/http2/Http2UpstreamsTest.java
+++ b/src/test/java/pondridge/http2/Http2UpstreamsTest.java
@@ -48,6 +48,9 @@
                 Map.entry(Fault.DECLINE, Outcome.REJECTED), Map.entry(Fault.ERROR, Outcome.ERROR),
                 Map.entry(Fault.CLOSE, Outcome.RESET), Map.entry(Fault.GOAWAY_LOWERED, Outcome.RESET),
                 Map.entry(Fault.SILENT, Outcome.RESET),
+                // Of gRPC alone.
+                Map.entry(Fault.NO_STATUS, Outcome.OK), Map.entry(Fault.CUT_MESSAGE, Outcome.OK),
+                Map.entry(Fault.TWO_MESSAGES, Outcome.OK), Map.entry(Fault.WRONG_TYPE, Outcome.OK),
                 // Servers that lie: a client can only believe them.
                 Map.entry(Fault.LIE, Outcome.REJECTED), Map.entry(Fault.GOAWAY_LIE, Outcome.REJECTED));
         assertEquals(Fault.values().length, expected.size());
--- a/src/test/java/pondridge/sidecar/DeployedIT.java
+++ b/src/test/java/pondridge/sidecar/DeployedIT.java
@@ -18,6 +18,7 @@
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.io.TempDir;
+import pondridge.grpc.GrpcProbe;
 import pondridge.http1.Stub;
 
 /** Both programs as the deploy file starts them, with the packaged jar. */
@@ -35,10 +36,11 @@
         }
     }
 
-    private void start(String key, ObjectNode config) throws IOException {
+    private void start(String key, ObjectNode config, String... more) throws IOException {
         String line = Files.readAllLines(Path.of("deploy/balancer.toml")).stream()
                 .filter(each -> each.startsWith(key + " = \"")).findFirst().orElseThrow();
-        String command = line.substring(line.indexOf('"') + 1, line.lastIndexOf('"'));
+        String command = line.substring(line.indexOf('"') + 1, line.lastIndexOf('"'))
+                + String.join("", more);
         Path file = write(config.toString());
         ProcessBuilder builder = new ProcessBuilder("/bin/sh", "-c", command);
         builder.environment().put("PROXY_CONFIG", file.toString());
@@ -120,6 +122,21 @@
         }
     }
 
+    /** With settings that say so it speaks gRPC, too; without them {@code run} has nothing of it. */
+    @Test
+    void aSecondFrontSpeaksGrpc() throws Exception {
+        InetSocketAddress address = freeAddress();
+        InetSocketAddress grpc = freeAddress();
+        Path file = Files.writeString(folder.resolve("settings.toml"),
+                "[grpc]\nsecurity = \"plain\"\nlisten = "
+                + "\"127.0.0.1:" + grpc.getPort() + "\"\n");
+        start("run", Bed.json().put("listen", "127.0.0.1:" + address.getPort()), " --settings " + file);
+        awaitUp(address);
+        assertTrue(GrpcProbe.healthy(grpc));
+        process.destroy();
+        assertEquals(0, exit());
+    }
+
     /** The JVM's own way with SIGHUP is to end: here each one brings the file's new discovery, under way. */
     @Test
     void sighupTakesTheNewDiscoveryAndABadFileChangesNothing() throws Exception {
--- a/src/test/java/pondridge/transport/MixedFleetTest.java
+++ b/src/test/java/pondridge/transport/MixedFleetTest.java
@@ -4,6 +4,7 @@
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import io.netty.channel.EventLoop;
+import java.nio.file.Path;
 import java.util.concurrent.CompletableFuture;
 import java.util.function.BooleanSupplier;
 import org.junit.jupiter.api.Test;
@@ -24,7 +25,7 @@
 
     private static Transport way(EventLoop loop, Options settings) {
         SettingsFile file = SettingsFile.parse("test", "[upstreams]\nprotocol = \"auto\"");
-        return MixedUpstreams.of(loop, settings, TransportSettings.of(file), 500);
+        return MixedUpstreams.of(loop, settings, TransportSettings.of(file, Path.of(".")), 500);
     }
 
     @Test
