Let a test see the store's bound on a reply and its check of the password

Need: neither line was guarded: broken, no test was red. Change: SharedStoreTest.aStoreThatIsNotWhatWasSetIsNotHeard. Measured: red with either line broken, green with both.

--- a/src/test/java/pondridge/store/SharedStoreTest.java
+++ b/src/test/java/pondridge/store/SharedStoreTest.java
@@ -272,6 +272,47 @@
         }
     }
 
+    /**
+     * A password that the store does not want is a mistake, and more of replies than may be ends the
+     * exchange.
+     */
+    @Test
+    void aStoreThatIsNotWhatWasSetIsNotHeard() throws Exception {
+        try (RedisStandin open = new RedisStandin(group.next(),
+                new InetSocketAddress(InetAddress.getLoopbackAddress(), 0), RedisStandin.Setup.usual())) {
+            StoreSettings plain = StoreSettings.of(SettingsFile.parse("x", "[store]\n"
+                    + "address = \"127.0.0.1:" + open.address().getPort() + "\"\nmember = \"one\"\n"
+                    + "period = \"60ms\"\nwithin = \"60ms\"\npause = \"20ms\"\n"
+                    + "longest_pause = \"20ms\"\nreply_bytes = \"16KiB\"\n"), Path.of("."));
+            StoreSettings secret = new StoreSettings(plain.address(), null, "",
+                    new StoreSettings.Login("app", "x"),
+                    plain.prefix(), "two", plain.period(), plain.within(), plain.read(), plain.servers(),
+                    plain.replyBytes(), plain.slow(), plain.hearsay(), plain.circuit(), plain.shares());
+            assertEquals("Login[app]", secret.login().toString());
+            SharedStore two = member(secret);
+            Direct.until(() -> count(two, "failures") > 3, "it is turned away");
+            assertEquals(0, open.used());
+            SharedStore one = member(plain);
+            Direct.until(() -> open.used() > 0 && count(one, "exchanges") > 10, "exchanges");
+            long before = count(one, "failures");
+            try (Jedis other = new Jedis("127.0.0.1", open.address().getPort())) {
+                for (int i = 0; i < 16; i++) {
+                    other.set("bankflow:1:report:m" + i, "x".repeat(4_000));
+                    other.sadd("bankflow:1:members:" + System.currentTimeMillis() / 10_000, "m" + i);
+                }
+            }
+            Direct.until(() -> count(one, "failures") > before + 2, "too much was sent");
+        }
+    }
+
+    private SharedStore member(StoreSettings settings) throws Exception {
+        return loop.submit(() -> {
+            SharedStore member = new SharedStore(loop, settings, () -> 0, () -> SERVERS, told -> { }, 7);
+            members.add(member);
+            return member;
+        }).get();
+    }
+
     /** A store's trouble: its begin and its end. */
     private record Trouble(Runnable begin, Runnable end) { }
 
