Serve first tries of little patience, and end the shed level where reports stop

What came, by node: `c0:157 c0:157 c0:157 c0:157 c0:157`, `c2:409` five times in one second, where first tries have 1089 and 4113 ms: no later try keeps the same time left. They are first tries of clients that give up early and come again; Admission.elapsed took any time that is not the usual one for a later try's and aims for long gone. Ruled out: shedding (4 to 18 a second), limits (one to two servers full), Health (one shut), cold budgets (nothing held for them).

Less time left than a first try's counts as a later try only if a request of the same class, tenant and object ended here unserved and was opened just then. The level by queues ends sixteen aims after the last report, and begins anew: owed since the last landing.

--- a/src/main/java/pondridge/Rules.java
+++ b/src/main/java/pondridge/Rules.java
@@ -125,7 +125,7 @@
     public void hangup(long now, long request) {
         Call call = ledger.calls.get(request);
         if (call != null) {
-            ledger.close(call);
+            ledger.close(call, false);
         }
     }
 
@@ -282,6 +282,8 @@
     }
 
     private static final class Call {
+        /** In expected times: what waits until less is left is late half the time. */
+        static final double MOST_IN_TIME = 1.5;
         final Request request;
         final RequestClass kind;
         final long deadline;
@@ -306,6 +308,14 @@
             this.aimAt = now - elapsed + Math.min(request.timeLeft() + elapsed, aim);
         }
 
+        /**
+         * Time without which it is not begun. A later try is the client's last, so half the expected will do.
+         * One of little patience is worked on also when its client has gone: most must be in time.
+         */
+        double needed() {
+            return expected * (aimAt == deadline && request.timeLeft() < aim ? MOST_IN_TIME : 0.5);
+        }
+
         /** Whether the last attempt is out; there is never more than one. */
         boolean waiting() {
             return !attempts.isEmpty() && attempts.get(attempts.size() - 1).out;
@@ -318,7 +328,7 @@
 
         Call open(long now, Request request) {
             Call call = new Call(request, settings.classes().get(request.requestClass()), now,
-                    admission.elapsed(request));
+                    admission.elapsed(now, request));
             // Danger: answers of no time would bring alarms an expected time apart to a stand.
             call.expected = Math.max(call.aim / 1000.0,
                     health.usual[request.requestClass()].expected(request.costHint()));
@@ -412,7 +422,7 @@
                 roster.served.add(now, roster.work(call));
             }
             if (ended || call.closed) {
-                close(call);
+                close(call, outcome == Outcome.OK);
                 return;
             }
             // Danger: held for a further attempt with every server tried, it would wait in vain.
@@ -436,11 +446,14 @@
             } else {
                 actions.fail(call.request.id());
             }
-            close(call);
+            close(call, false);
         }
 
         /** Nothing is sent for a closed request; its outstanding attempt still counts as in flight. */
-        void close(Call call) {
+        void close(Call call, boolean served) {
+            if (!call.closed && !served) {
+                admission.unserved.add(call);
+            }
             if (!call.closed && call.waiting() && !call.streaming && settings.allowed().cancel()) {
                 actions.cancel(call.request.id(), call.attempts.size() - 1);
             }
@@ -763,6 +776,8 @@
         private static final double DEAREST = 0.9;
         /** Of the dearest some always go, else nothing would tell when the servers have room again. */
         private static final double HIGHEST = 0.98;
+        /** In aims: twice as far as lateness looks back, which rules when it has ended. */
+        private static final int LASTS = 16;
         private final int field = settings.reportFields().indexOf("q");
         private final boolean many = settings.replicas() >= MANY;
         private final double meanWorth = settings.classes().stream().mapToDouble(RequestClass::worth)
@@ -770,9 +785,12 @@
         private double value;
         private long toldAt;
 
-        /** Whether it decides what is shed: with many sidecars, once a queue has been reported. */
-        boolean rules() {
-            return many && toldAt != 0;
+        /**
+         * Whether it decides what is shed: with many sidecars, while queues are reported. Danger: where
+         * reports stop after an overload (other servers, other answers) it would shed for ever.
+         */
+        boolean rules(long now) {
+            return many && toldAt != 0 && now - toldAt < LASTS * health.firstBackoff;
         }
 
         /** Up within an aim where all have queues; down the faster the higher it is, so that it ends soon. */
@@ -781,6 +799,7 @@
                 return;
             }
             double aims = Math.min(1, (now - toldAt) / (double) health.firstBackoff);
+            value = rules(now) ? value : 0;
             toldAt = now;
             double step = load[field] >= 1 ? 1 - BUSY : -Math.max(BUSY, value / 2);
             value = Math.max(0, Math.min(HIGHEST, value + aims * step));
@@ -813,6 +832,40 @@
         }
     }
 
+    /** Requests that ended here with no service, by what later tries of them have in common with them. */
+    private final class Unserved {
+        /** Two hundred a second over the longest deadlines; the oldest go first. */
+        private static final int MOST = 1024;
+        /** Part of the aim by which whole milliseconds, the way here and a turn of the host may shift it. */
+        private static final int SHIFT = 20;
+
+        private record Try(int kind, int tenant, long key, long openedAt) { }
+
+        private final ArrayDeque<Try> tries = new ArrayDeque<>();
+
+        void add(Call call) {
+            Request request = call.request;
+            if (tries.size() == MOST) {
+                tries.poll();
+            }
+            tries.add(new Try(request.requestClass(), request.tenant(), request.key(),
+                    call.deadline - request.timeLeft()));
+        }
+
+        /** Whether one like this was opened about then. */
+        boolean came(Request request, long then) {
+            long aim = settings.classes().get(request.requestClass()).aim();
+            long shift = 2 * settings.quantum() + aim / SHIFT;
+            for (Try each : tries) {
+                if (Math.abs(each.openedAt - then) <= shift && each.kind == request.requestClass()
+                        && each.tenant == request.tenant() && each.key == request.key()) {
+                    return true;
+                }
+            }
+            return false;
+        }
+    }
+
     /** Learned concurrency limits, held work, refusals, and the budget of further attempts. */
     private final class Admission {
         /** Room for two-choice to act; many sidecars start together, so no more before anything is known. */
@@ -824,6 +877,7 @@
         /** Four in five in time is sound enough: the rest is chance and single faults. */
         private static final double ENOUGH = 1.25;
         private final Level level = new Level();
+        private final Unserved unserved = new Unserved();
         private final Share[] shares = new Share[Math.max(1, settings.tenants().size())];
         private int held;
         private long drains;
@@ -844,9 +898,12 @@
         /**
          * Time the client has spent on earlier tries. A first try has a fixed part of the deadline left, the
          * same each time; a last one has what remains of the whole. The commonest value marks the first tries
-         * (it loses its place once half of them differ) and any other tells the time spent.
+         * (it loses its place once half of them differ). More than that is a last try's. Less is one's only
+         * if its earlier try ended here with no service just so long ago. Danger: else it is the first try of
+         * a client with little patience; refused at once as hopeless, such clients come again at once, and
+         * with them up to half of all requests were turned away before idle upstreams.
          */
-        long elapsed(Request request) {
+        long elapsed(long now, Request request) {
             int kind = request.requestClass();
             long left = request.timeLeft();
             if (Math.abs(left - firstLeft[kind]) <= 2 * settings.quantum()) {
@@ -858,7 +915,8 @@
                 firstVotes[kind] = 0;
                 return 0;
             }
-            return Math.max(0, settings.classes().get(kind).deadline() - left);
+            long spent = Math.max(0, settings.classes().get(kind).deadline() - left);
+            return left > firstLeft[kind] || unserved.came(request, now - spent) ? spent : 0;
         }
 
         /** Sends a request now, or holds it while it can still be answered within its aim. */
@@ -875,13 +933,13 @@
             if (reports.ask(now, call)) {
                 return;
             }
-            if (call.attempts.isEmpty() && now + call.expected / 2 >= call.aimAt) {
-                ledger.answer(call);  // a client's later try that can hardly be in time
+            if (call.attempts.isEmpty() && now + call.needed() >= call.aimAt) {
+                ledger.answer(call);  // a later try, or one of little patience, that can hardly be in time
             } else if (held > 0 || !place(now, call)) {
                 call.held = true;
                 share(call).held.push(call);
                 held++;
-                long hopeless = call.aimAt - (long) (1.5 * call.expected);  // later, half would be late
+                long hopeless = call.aimAt - (long) (Call.MOST_IN_TIME * call.expected);
                 alarms.set(Math.max(now + 1, hopeless), at -> {
                     if (call.held) {
                         ledger.answer(call);
@@ -898,7 +956,7 @@
          * drain where a share would feed it. What is shed comes again: marked retries are shed more readily.
          */
         private double shedding(long now, Call call) {
-            if (level.rules()) {
+            if (level.rules(now)) {
                 return level.shedding(call.kind);
             }
             return 1 - borne(now);
@@ -969,7 +1027,7 @@
 
         /** Under overload a further attempt takes the place of a first one. */
         boolean worthRetry(long now, Call call) {
-            return now < call.aimAt && (level.rules() ? level.value : 1 - borne(now)) < 0.8;
+            return now < call.aimAt && (level.rules(now) ? level.value : 1 - borne(now)) < 0.8;
         }
 
         long stayAway(Call call) {
