Hold no slowness against requests of little patience that nothing has shown lately

Seen: SitesTest.crossingAtFourTimesWhatTheFarSiteTakes, clients that wait 400 ms for a class of 3 s, `served=0, refused=7200`: what is expected starts from a tenth of the aim, 300 ms, and 450 are not there.

The bound holds only while an answer of the class was learned within an aim; else half the expected will do, as for later tries.

New test: after a slow spell 0 of 300 are begun without the line, over 100 with it.

--- a/src/main/java/pondridge/Rules.java
+++ b/src/main/java/pondridge/Rules.java
@@ -298,6 +298,8 @@
         List<Server> looked = List.of();
         double bar;
         double expected;
+        /** Time without which it is not begun. */
+        double least;
 
         Call(Request request, RequestClass kind, long now, long elapsed) {
             this.request = request;
@@ -308,14 +310,6 @@
             this.aimAt = now - elapsed + Math.min(request.timeLeft() + elapsed, aim);
         }
 
-        /**
-         * Time without which it is not begun. A later try is the client's last, so half the expected will do.
-         * One of little patience is worked on also when its client has gone: most must be in time.
-         */
-        double needed() {
-            return expected * (aimAt == deadline && request.timeLeft() < aim ? MOST_IN_TIME : 0.5);
-        }
-
         /** Whether the last attempt is out; there is never more than one. */
         boolean waiting() {
             return !attempts.isEmpty() && attempts.get(attempts.size() - 1).out;
@@ -332,6 +326,12 @@
             // Danger: answers of no time would bring alarms an expected time apart to a stand.
             call.expected = Math.max(call.aim / 1000.0,
                     health.usual[request.requestClass()].expected(request.costHint()));
+            // A later try is the client's last: half the expected will do. One of little patience is worked
+            // on also when its client has gone, so most must be in time. Danger: where all are so, nothing
+            // would ever show that answers are fast again; what nothing has shown for an aim is not held so.
+            boolean hasty = call.aimAt == call.deadline && request.timeLeft() < call.aim
+                    && now - health.usual[request.requestClass()].learnedAt < call.aim;
+            call.least = call.expected * (hasty ? Call.MOST_IN_TIME : 0.5);
             calls.put(request.id(), call);
             alarms.set(call.deadline, at -> {
                 if (!call.streaming) {
@@ -593,6 +593,8 @@
         /** About the last 50 answers. */
         private static final double NEW = 0.02;
         double mean;
+        /** Long ago at first: what it starts from has not been seen. */
+        long learnedAt = Long.MIN_VALUE / 2;
         private long seen;
         private double cost;
         private double square;
@@ -602,7 +604,8 @@
             mean = first;
         }
 
-        void learn(double took, double hint) {
+        void learn(long now, double took, double hint) {
+            learnedAt = now;
             // Cut at three times the expected: one slow server must not become what is usual.
             double time = Math.min(took, 3 * expected(hint));
             double part = Math.max(NEW, 1.0 / ++seen);
@@ -721,7 +724,8 @@
                 case OK -> {
                     reports.learn(attempt, now - attempt.sentAt);
                     learnPace(server, (now - attempt.sentAt) / call.expected);
-                    usual[call.request.requestClass()].learn(now - attempt.sentAt, call.request.costHint());
+                    usual[call.request.requestClass()].learn(now, now - attempt.sentAt,
+                            call.request.costHint());
                     heard(now, server);
                 }
                 case ERROR, RESET -> {
@@ -933,7 +937,7 @@
             if (reports.ask(now, call)) {
                 return;
             }
-            if (call.attempts.isEmpty() && now + call.needed() >= call.aimAt) {
+            if (call.attempts.isEmpty() && now + call.least >= call.aimAt) {
                 ledger.answer(call);  // a later try, or one of little patience, that can hardly be in time
             } else if (held > 0 || !place(now, call)) {
                 call.held = true;
--- a/src/test/java/pondridge/RulesTest.java
+++ b/src/test/java/pondridge/RulesTest.java
@@ -629,6 +629,29 @@
         assertEquals("refuse 204", host.answers.get(host.answers.size() - 1), "850 of 500 ms are gone");
     }
 
+    /** Where all have little patience: what was slow once, or is not known, shuts nobody out for good. */
+    @Test
+    void whereAllHaveLittlePatienceSlownessIsForgotten() {
+        Recorder host = host(REPEATABLE).withUpstreams(10);
+        int[] sent = new int[3];
+        for (int i = 0; i < 900; i++) {
+            int phase = i / 300;
+            long took = phase == 1 ? 190 * MS : 20 * MS;
+            int before = host.sends.size();
+            host.request(i, 0, 200 * MS);
+            if (host.sends.size() > before) {
+                sent[phase]++;
+                host.advance(took);
+                host.outcome(host.last(), Outcome.OK);
+            } else {
+                host.advance(20 * MS);
+            }
+        }
+        assertTrue(sent[0] > 290, "nothing known: " + sent[0]);
+        assertTrue(sent[1] < 250, "slow: " + sent[1]);
+        assertTrue(sent[2] > 100, "fast again: " + sent[2]);
+    }
+
     @Test
     void firstTriesWithLessTimeThanLastOnesStayFirst() {
         Recorder host = host(ONCE).withUpstreams(1);
