Play drills of lost sites with gateways as processes, by script, one ledger over all

The loss of a site was shown in one process only; how many processes behave together when parts fail could not be caused.

`bankflow drill FILE`: gateways as operating-system processes of the shipped jar (Child, ProcessGateway), each with an agent of discovery (DiscoveryStandin) and ports that it draws and tells itself; a faulty link from each site to each gateway of each other; steps by time: cut, heal, stall, lose, return, kill, start, stop (SIGSTOP for a bounded time), cut-link, stall-link, one-way, slow, cold, surge. Clients ask again what was refused, and elsewhere what a killed gateway took where that is harmless; the ledger knows killed and stopped doors. Report by phase and site: worth in time, confirmations, refused, refused requests that were served on asking again, and what the best plan could serve. Sites hosts gateways in its own loops as before, or as processes: one bed. Ends with its parent.

Found by it: a drill that was killed mid-stop left nothing behind (DrillIT); load of no requests never ended, and hung a test for 18 minutes.

--- a/src/main/java/pondridge/Options.java
+++ b/src/main/java/pondridge/Options.java
@@ -34,6 +34,11 @@
         }
     }
 
+    /** All paths with their values, as they were read; for a host that hands them on. */
+    public Map<String, String> lines() {
+        return Map.copyOf(values);
+    }
+
     /** The same with some lines more, which replace those before them. */
     public Options with(String lines) {
         Options more = new Options(lines);
--- a/src/main/java/pondridge/cli/GatewayCommand.java
+++ b/src/main/java/pondridge/cli/GatewayCommand.java
@@ -30,6 +30,8 @@
 
     @Option(names = "--config", required = true, paramLabel = "FILE", description = "the TOML file")
     private Path file;
+    @Option(names = "--with-parent", description = "ends, as at SIGTERM, when its standard input ends")
+    private boolean withParent;
 
     /** What a gateway is told: its own file and the platform's that it names. */
     record Told(GatewaySettings settings, Config platform) {
@@ -60,6 +62,9 @@
                 ended.countDown();
                 Runtime.getRuntime().halt(CommandLine.ExitCode.OK);
             }));
+            if (withParent) {
+                Parent.watch();
+            }
             ended.await();
             return CommandLine.ExitCode.OK;
         } catch (ExecutionException e) {
--- a/src/main/java/pondridge/demo/Sites.java
+++ b/src/main/java/pondridge/demo/Sites.java
@@ -4,31 +4,24 @@
 import io.netty.channel.MultiThreadIoEventLoopGroup;
 import io.netty.channel.nio.NioIoHandler;
 import java.io.IOException;
-import java.lang.management.ManagementFactory;
 import java.net.InetAddress;
 import java.net.InetSocketAddress;
 import java.nio.file.Path;
 import java.util.ArrayList;
-import java.util.HashSet;
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
-import java.util.Set;
-import java.util.concurrent.Callable;
-import java.util.concurrent.ExecutionException;
+import java.util.concurrent.CopyOnWriteArrayList;
 import java.util.concurrent.TimeUnit;
-import java.util.concurrent.TimeoutException;
 import java.util.function.Function;
 import java.util.function.LongSupplier;
 import pondridge.Balancer.ListKind;
 import pondridge.Balancer.State;
 import pondridge.Options;
-import pondridge.core.Directory;
 import pondridge.core.Target;
-import pondridge.gateway.Gateway;
 import pondridge.gateway.GatewaySettings;
-import pondridge.http1.Upstreams;
 import pondridge.settings.SettingsFile;
+import pondridge.standin.Doors;
 import pondridge.standin.EffectLedger;
 import pondridge.standin.FaultScript;
 import pondridge.standin.FaultyLink;
@@ -43,49 +36,74 @@
  */
 public final class Sites implements AutoCloseable {
     private static final long MS = 1_000_000;
-    private static final int MOST = 4096;
-    private static final long LIMIT_S = 30;
+
+    /**
+     * One site of what is built.
+     *
+     * @param threads of each server, with a queue of eight times as many; 0 for any number at a time
+     * @param settings TOML lines for its gateways, without sections of sites
+     */
+    public record Place(String name, int servers, int gateways, int threads, String settings) { }
 
     /**
      * What is built.
      *
-     * @param names of the sites
-     * @param servers of each
-     * @param gateways of each
      * @param work mean time of a request's work in nanoseconds
      * @param delay of a link in one direction, in nanoseconds
      * @param jitter up to how much is added to that
-     * @param settings TOML lines for all gateways, without sections of sites
      */
-    public record Shape(List<String> names, int servers, int gateways, long work, long delay, long jitter,
-            String settings) { }
+    public record Shape(List<Place> places, long work, long delay, long jitter) {
+        /** Sites that are all alike. */
+        public Shape(List<String> names, int servers, int gateways, long work, long delay, long jitter,
+                String settings) {
+            this(names.stream().map(name -> new Place(name, servers, gateways, 0, settings)).toList(), work,
+                    delay, jitter);
+        }
+    }
+
+    /** Starts gateways, in whichever way. */
+    interface Hosting {
+        /** One gateway, listening. */
+        GatewayHost start(String name, String toml, List<Target> known, long seed) throws IOException;
+    }
 
     /** One site. */
     public final class Site {
+        private final Place place;
         private final String name;
+        private final String security;
         private final List<StandinServer> servers = new ArrayList<>();
         private final List<FaultyLink> wires = new ArrayList<>();
-        private final List<FaultyLink> links = new ArrayList<>();
-        private final List<Gateway> gateways = new ArrayList<>();
-        private final List<EventLoop> loops = new ArrayList<>();
-        private final List<InetSocketAddress> doors = new ArrayList<>();
-        private final Set<Integer> dead = new HashSet<>();
-
-        private Site(String name) {
-            this.name = name;
+        private final Map<String, List<FaultyLink>> links = new LinkedHashMap<>();
+        private final List<GatewayHost> gateways = new ArrayList<>();
+        private final List<InetSocketAddress> doors = new CopyOnWriteArrayList<>();
+
+        private Site(Place place, String security) {
+            this.place = place;
+            this.name = place.name;
+            this.security = security;
         }
 
         public String name() {
             return name;
         }
 
+        List<GatewayHost> gateways() {
+            return gateways;
+        }
+
+        /** The links that lead here from one other site, one to each gateway. */
+        public List<FaultyLink> linksFrom(String other) {
+            return links.get(other);
+        }
+
         public List<StandinServer> servers() {
             return servers;
         }
 
-        /** The links that lead here from other sites, one to each gateway. */
+        /** The links that lead here from other sites, one from each to each gateway. */
         public List<FaultyLink> links() {
-            return links;
+            return links.values().stream().flatMap(List::stream).toList();
         }
 
         /** Where clients connect. */
@@ -130,14 +148,14 @@
             tell(List.of(target));
         }
 
+        /** Tells the gateways that the first servers have just started, at this Unix time in milliseconds. */
+        void startedAnew(int first, long toldMs) {
+            tell(targets(State.READY).stream().limit(first).map(each -> new Target(each.uid(),
+                    each.endpoint(), name, "m", 0, State.READY, 1, toldMs)).toList());
+        }
+
         private void tell(List<Target> targets) {
-            for (int i = 0; i < gateways.size(); i++) {
-                Gateway gateway = gateways.get(i);
-                on(loops.get(i), () -> {
-                    gateway.listed(ListKind.DELTA, targets);
-                    return null;
-                });
-            }
+            gateways.forEach(each -> each.listed(ListKind.DELTA, targets));
         }
 
         private List<Target> targets(State state) {
@@ -151,54 +169,46 @@
 
         /** Ends a gateway as a process is killed: all its connections end, and what it knew is gone. */
         public void kill(int number) {
-            loops.get(number).shutdownGracefully(0, 0, TimeUnit.SECONDS).syncUninterruptibly();
-            dead.add(number);
+            known.killed(doors.get(number));
+            gateways.get(number).kill();
+        }
+
+        /** A gateway is about to stand still for so long, in nanoseconds. */
+        void stops(int number, long length) {
+            known.stops(doors.get(number), length);
         }
 
         /** Starts a new gateway in a killed one's place, for other sites; its clients' door is a new one. */
         public void restart(int number) throws IOException {
             start(this, number);
-            dead.remove(number);
         }
 
-        /** What the processor has spent on its gateways' loops, in nanoseconds. */
+        /** What the processor has spent on its gateways, in nanoseconds. */
         public double cpuNanos() {
-            return loops.stream().mapToDouble(loop ->
-                    on(loop, () -> ManagementFactory.getThreadMXBean().getCurrentThreadCpuTime())).sum();
+            return gateways.stream().mapToDouble(GatewayHost::cpuNanos).sum();
         }
 
-        /** A count of all its gateways together, by its name in {@link Gateway#counts}. */
+        /** A count of all its gateways together, by its name in {@link pondridge.gateway.Gateway#counts}. */
         public long count(String of) {
-            long sum = 0;
-            for (int i = 0; i < gateways.size(); i++) {
-                Gateway gateway = gateways.get(i);
-                sum += dead.contains(i) ? 0 : on(loops.get(i), () -> gateway.counts().getOrDefault(of, 0L));
-            }
-            return sum;
+            return gateways.stream().mapToLong(each -> each.count(of)).sum();
         }
 
         private boolean idle() {
-            boolean idle = true;
-            for (int i = 0; i < gateways.size(); i++) {
-                idle &= dead.contains(i) || on(loops.get(i), gateways.get(i)::idle);
-            }
-            return idle;
+            return gateways.stream().allMatch(GatewayHost::idle);
         }
     }
 
     private final Shape shape;
-    private final Function<String, String> security;
-    private final Function<String, LongSupplier> clocks;
+    private final Hosting hosting;
     private final long seed;
     private final MultiThreadIoEventLoopGroup group;
-    private final List<MultiThreadIoEventLoopGroup> gatewayLoops = new ArrayList<>();
     private final EventLoop serving;
     private final EventLoop linking;
     private final EventLoop asking;
-    private final Options options;
     private final EffectLedger ledger;
     private final KeyMemory memory = new KeyMemory();
     private final Map<String, Site> sites = new LinkedHashMap<>();
+    private final Doors known = new Doors();
 
     /**
      * Builds and starts it all.
@@ -214,35 +224,32 @@
     /** The same; {@code clocks} gives the clock of a site's gateways. */
     public Sites(Shape shape, Options options, long seed, Function<String, String> security,
             Function<String, LongSupplier> clocks) throws IOException {
+        this(shape, options, seed, security, (name, toml, known, itsSeed) -> {
+            SettingsFile file = SettingsFile.parse(name, toml);
+            GatewaySettings settings = GatewaySettings.of(file, Path.of("."));
+            file.finish();
+            return new LoopGateway(settings, options, known, itsSeed, clocks.apply(settings.site()));
+        });
+    }
+
+    /** The same; its gateways are started by {@code hosting}. */
+    Sites(Shape shape, Options options, long seed, Function<String, String> security, Hosting hosting)
+            throws IOException {
         this.shape = shape;
-        this.security = security;
-        this.clocks = clocks;
+        this.hosting = hosting;
         this.seed = seed;
-        this.options = options;
         this.ledger = new EffectLedger(500 * MS, (long) options.number("rules.stopSendingWithin", 2e9));
         this.group = new MultiThreadIoEventLoopGroup(3, NioIoHandler.newFactory());
         this.serving = group.next();
         this.linking = group.next();
         this.asking = group.next();
         try {
-            for (String name : shape.names) {
-                Site site = new Site(name);
-                sites.put(name, site);
-                for (int i = 0; i < shape.servers; i++) {
-                    StandinServer server = new StandinServer(serving, local(), StandinServer.Setup.of(
-                            name + "-s" + i, name, StandinServer.Protocol.HTTP1,
-                            new FaultScript(seed + i, Map.of(), shape.work, shape.work), ledger, memory));
-                    site.servers.add(server);
-                    site.wires.add(new FaultyLink(linking, local(), server.address(), seed + i));
-                }
-                for (int i = 0; i < shape.gateways; i++) {
-                    FaultyLink link = new FaultyLink(linking, local(), local(), seed + 100 + i);
-                    link.set(FaultyLink.Condition.delayed(shape.delay, shape.jitter));
-                    site.links.add(link);
-                }
+            shape.places.forEach(place -> sites.put(place.name, new Site(place, security.apply(place.name))));
+            for (Site site : sites.values()) {
+                build(site);
             }
             for (Site site : sites.values()) {
-                for (int i = 0; i < shape.gateways; i++) {
+                for (int i = 0; i < site.place.gateways; i++) {
                     start(site, i);
                 }
             }
@@ -252,45 +259,51 @@
         }
     }
 
+    private void build(Site site) {
+        for (int i = 0; i < site.place.servers; i++) {
+            StandinServer server = new StandinServer(serving, local(), StandinServer.Setup.of(
+                    site.name + "-s" + i, site.name, StandinServer.Protocol.HTTP1,
+                    new FaultScript(seed + i, Map.of(), shape.work, 9 * shape.work), ledger, memory));
+            if (site.place.threads > 0) {
+                server.threads(site.place.threads, 8 * site.place.threads);
+            }
+            site.servers.add(server);
+            site.wires.add(new FaultyLink(linking, local(), server.address(), seed + i));
+        }
+        for (Site other : sites.values()) {
+            if (other != site) {
+                List<FaultyLink> links = new ArrayList<>();
+                for (int i = 0; i < site.place.gateways; i++) {
+                    FaultyLink link = new FaultyLink(linking, local(), local(), seed + 100 + i);
+                    link.set(FaultyLink.Condition.delayed(shape.delay, shape.jitter));
+                    links.add(link);
+                }
+                site.links.put(other.name, links);
+            }
+        }
+    }
+
     private void start(Site site, int number) throws IOException {
+        String name = site.name + number;
         StringBuilder text = new StringBuilder("[gateway]\nsite = \"" + site.name
-                + "\"\nplatform = \"-\"\n[link]\nlisten = \"127.0.0.1:0\"\n" + security.apply(site.name)
-                + shape.settings);
+                + "\"\nplatform = \"" + name + ".json\"\n[link]\nlisten = \"127.0.0.1:0\"\n" + site.security
+                + site.place.settings);
         for (Site other : sites.values()) {
             if (other != site) {
                 text.append("\n[sites.").append(other.name).append("]\ngateways = [");
-                other.links.forEach(link -> text.append("\"127.0.0.1:").append(link.address().getPort())
-                        .append("\","));
+                other.linksFrom(site.name).forEach(link -> text.append("\"127.0.0.1:")
+                        .append(link.address().getPort()).append("\","));
                 text.append("]\n");
             }
         }
-        SettingsFile file = SettingsFile.parse(site.name, text.toString());
-        GatewaySettings settings = GatewaySettings.of(file, Path.of("."));
-        file.finish();
-        MultiThreadIoEventLoopGroup its = new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory());
-        gatewayLoops.add(its);
-        EventLoop loop = its.next();
-        try {
-            Gateway gateway = loop.submit(() -> new Gateway(loop, options, settings,
-                    new Upstreams(loop, options, MOST), seed + number, MOST, clocks.apply(site.name))).get();
-            Gateway.Doors doors = loop.submit(() -> gateway.start(new Directory() {
-                @Override
-                public void watch(boolean on) { }
-
-                @Override
-                public void fetch() { }
-            }, site.targets(State.READY), local())).get().get(LIMIT_S, TimeUnit.SECONDS);
-            site.links.get(number).target(doors.sites());
-            if (number < site.gateways.size()) {
-                site.gateways.set(number, gateway);
-                site.loops.set(number, loop);
-            } else {
-                site.gateways.add(gateway);
-                site.loops.add(loop);
-                site.doors.add(doors.clients());
-            }
-        } catch (ExecutionException | TimeoutException | InterruptedException e) {
-            throw new IOException("gateway of " + site.name + ": " + e.getMessage(), e);
+        GatewayHost made = hosting.start(name, text.toString(), site.targets(State.READY), seed + number);
+        site.links.values().forEach(links -> links.get(number).target(made.doors().sites()));
+        if (number < site.gateways.size()) {
+            site.gateways.set(number, made);
+            site.doors.set(number, made.doors().clients());
+        } else {
+            site.gateways.add(made);
+            site.doors.add(made.doors().clients());
         }
     }
 
@@ -298,10 +311,6 @@
         return new InetSocketAddress(InetAddress.getLoopbackAddress(), 0);
     }
 
-    private static <T> T on(EventLoop loop, Callable<T> call) {
-        return loop.submit(call).syncUninterruptibly().getNow();
-    }
-
     /** A site by its name. */
     public Site site(String name) {
         return sites.get(name);
@@ -316,6 +325,14 @@
         return new OpenLoad(asking, site(site).doors, ledger, seed, site + seed);
     }
 
+    /**
+     * The same by clients that ask again: at another of the site's gateways where theirs was killed, and so
+     * many times after a refusal.
+     */
+    OpenLoad persistent(String site, long seed, int retries) {
+        return new OpenLoad(asking, site(site).doors, ledger, seed, site + '-' + seed, known, retries);
+    }
+
     /** Waits until no gateway has anything open; false if that takes too long. */
     public boolean quiet(long limitMs) throws InterruptedException {
         long until = System.nanoTime() + limitMs * MS;
@@ -331,20 +348,11 @@
     @Override
     public void close() {
         for (Site site : sites.values()) {
-            for (int i = 0; i < site.gateways.size(); i++) {
-                Gateway gateway = site.gateways.get(i);
-                if (!site.dead.contains(i)) {
-                    on(site.loops.get(i), () -> {
-                        gateway.close();
-                        return null;
-                    });
-                }
-            }
+            site.gateways.parallelStream().forEach(GatewayHost::close);
             site.servers.forEach(StandinServer::close);
             site.wires.forEach(FaultyLink::close);
-            site.links.forEach(FaultyLink::close);
+            site.links().forEach(FaultyLink::close);
         }
-        gatewayLoops.forEach(each -> each.shutdownGracefully(0, 2, TimeUnit.SECONDS));
         group.shutdownGracefully(0, 2, TimeUnit.SECONDS).syncUninterruptibly();
     }
 }
--- a/src/main/java/pondridge/settings/SettingsFile.java
+++ b/src/main/java/pondridge/settings/SettingsFile.java
@@ -3,6 +3,7 @@
 import com.fasterxml.jackson.core.JsonProcessingException;
 import com.fasterxml.jackson.databind.JsonNode;
 import com.fasterxml.jackson.databind.node.JsonNodeFactory;
+import com.fasterxml.jackson.databind.node.ObjectNode;
 import com.fasterxml.jackson.dataformat.toml.TomlMapper;
 import java.io.IOException;
 import java.nio.file.Files;
@@ -50,6 +51,27 @@
         }
     }
 
+    /**
+     * The same with all that another file has besides: what stands in both is this one's, value by value, but
+     * that a section named in {@code whole} is taken from this one alone.
+     */
+    public SettingsFile over(SettingsFile base, Set<String> whole) {
+        ObjectNode merged = base.root.deepCopy();
+        whole.stream().filter(root::has).forEach(merged::remove);
+        merge(merged, root);
+        return new SettingsFile(name, merged);
+    }
+
+    private static void merge(ObjectNode into, JsonNode from) {
+        from.properties().forEach(field -> {
+            if (field.getValue().isObject() && into.path(field.getKey()).isObject()) {
+                merge((ObjectNode) into.get(field.getKey()), field.getValue());
+            } else {
+                into.set(field.getKey(), field.getValue());
+            }
+        });
+    }
+
     /** As messages name it. */
     public String name() {
         return name;
--- a/src/main/java/pondridge/siteloss/SitePlanSettings.java
+++ b/src/main/java/pondridge/siteloss/SitePlanSettings.java
@@ -54,6 +54,28 @@
         return new Topology(sites, classes, ways, reserve);
     }
 
+    /** The section as text, which {@link #of} reads as the same topology; names must be bare keys of TOML. */
+    public static String text(Topology topology) {
+        StringBuilder text = new StringBuilder("[site_plan]\nreserve = " + topology.reserve() + '\n');
+        topology.classes().forEach(kind -> text.append("[site_plan.classes.").append(kind.name())
+                .append("]\nworth = ").append(kind.worth()).append("\nwork = \"").append(micros(kind.work()))
+                .append("us\"\naim = \"").append(micros(kind.aim())).append("us\"\n"));
+        topology.sites().forEach(site -> {
+            text.append("[site_plan.sites.").append(site.name()).append("]\ncapacity = ")
+                    .append(site.capacity()).append("\n[site_plan.sites.").append(site.name())
+                    .append(".asked]\n");
+            site.asked().forEach((kind, rate) -> text.append(kind).append(" = ").append(rate).append('\n'));
+        });
+        topology.ways().forEach(way -> text.append("[site_plan.ways.").append(way.from()).append('.')
+                .append(way.to()).append("]\nper_second = ").append(way.perSecond())
+                .append("\nround_trip = \"").append(micros(way.roundTrip())).append("us\"\n"));
+        return text.toString();
+    }
+
+    private static long micros(double seconds) {
+        return Math.round(seconds * 1e6);
+    }
+
     private static Kind kind(String name, Section section) {
         return new Kind(name, section.fraction("worth", 1, 0, 1e6),
                 section.time("work", "-", "1us", "1min") / SECOND,
