Plan a loss for the sites that can be reached, tell views between gateways, put own clients first

Two gateways of one site returned up to 4.0 s apart, each by itself.

Split has a plan for each set of sites that can be reached. Of scarce credit a class leaves behind the part that it leaves of the crossing budget. A site whose own clients suffer (Pressure) halves what others have in work there. Beats carry how a gateway sees its own site and bring back how the site's other gateways see it (Views); a hint beside own evidence. OwnSite.started takes a site's load by its warmth.

--- a/src/main/java/pondridge/demo/Child.java
+++ b/src/main/java/pondridge/demo/Child.java
@@ -32,8 +32,8 @@
     private static final int MOST_LINES = 10_000;
     private static final int LIMIT_S = 30;
 
-    /** One line of its log, and when it came here by {@link System#nanoTime}. */
-    public record Line(long at, JsonNode json) {
+    /** One line of a process's log, and when it came here by {@link System#nanoTime}. */
+    public record Line(String from, long at, JsonNode json) {
         /** The kind of event that it tells. */
         public String event() {
             return json.path("event").asText();
@@ -109,7 +109,7 @@
         Line line = null;
         try {
             JsonNode json = text.startsWith("{") ? Json.MAPPER.readTree(text) : null;
-            line = json == null ? null : new Line(System.nanoTime(), json);
+            line = json == null ? null : new Line(name, System.nanoTime(), json);
         } catch (JsonProcessingException e) {
             // Torn, or no log line: kept as words.
         }
--- a/src/main/java/pondridge/demo/DrillReport.java
+++ b/src/main/java/pondridge/demo/DrillReport.java
@@ -9,6 +9,7 @@
 import java.util.Map;
 import java.util.Set;
 import java.util.TreeMap;
+import java.util.stream.IntStream;
 import pondridge.siteloss.LossPlan;
 import pondridge.siteloss.LossPlanner;
 import pondridge.siteloss.Topology;
@@ -106,25 +107,26 @@
         return whole == 0 ? 1 : part / whole;
     }
 
-    /** What gateways said of their own site, and how far apart those of one site were in saying the same. */
+    /** What gateways said of their own site, and for how long at a time those of one site differed. */
     private void look(long began, List<Child.Line> log) {
-        Map<String, List<Long>> same = new LinkedHashMap<>();
+        Map<String, String> said = new HashMap<>();
+        Map<String, Long> since = new HashMap<>();
         for (Child.Line line : log) {
             if (line.at() - began > 0 && line.event().equals("own_site")) {
                 String site = line.json().path("site").asText();
                 String detail = line.json().path("detail").asText();
-                views.add(String.format(Locale.ROOT, "%6.2f s  %s: %s", (line.at() - began) / 1e9, site,
-                        detail));
-                same.computeIfAbsent(site + ' ' + detail.split(",")[0], key -> new ArrayList<>())
-                        .add(line.at());
+                views.add(String.format(Locale.ROOT, "%6.2f s  %s: %s", (line.at() - began) / 1e9,
+                        line.from(), detail));
+                said.put(line.from(), detail.split(",")[0]);
+                long alike = IntStream.range(0, plan.sites().get(site).gateways())
+                        .mapToObj(number -> said.getOrDefault(site + number, "in")).distinct().count();
+                if (alike > 1) {
+                    since.putIfAbsent(site, line.at());
+                } else if (since.containsKey(site)) {
+                    spread.merge(site, line.at() - since.remove(site), Math::max);
+                }
             }
         }
-        same.forEach((key, times) -> {
-            int gateways = plan.sites().get(key.split(" ")[0]).gateways();
-            for (int i = gateways - 1; i < times.size(); i += gateways) {
-                spread.merge(key, times.get(i) - times.get(i - gateways + 1), Math::max);
-            }
-        });
     }
 
     /** What the best plan could serve of a site's worth while these are lost, by the drill's own figures. */
@@ -159,7 +161,7 @@
                 .orElseThrow();
     }
 
-    /** The longest that gateways of one site differed in a view of it, by site and view, in nanoseconds. */
+    /** The longest at a time that gateways of one site differed in their view of it, in nanoseconds. */
     public Map<String, Long> spread() {
         return spread;
     }
@@ -178,8 +180,8 @@
                 "were %s lost, its clients could get at most %.3f of their worth", site,
                 bound(Set.of(site), site))));
         lines.addAll(views);
-        spread.forEach((view, nanos) -> lines.add(String.format(Locale.ROOT,
-                "gateways differed for up to %d ms: %s", nanos / 1_000_000, view)));
+        spread.forEach((site, nanos) -> lines.add(String.format(Locale.ROOT,
+                "gateways of %s differed for up to %d ms", site, nanos / 1_000_000)));
         lines.add(String.format(Locale.ROOT, "asked %d, unanswered %d, late %d, doubled %d, "
                 + "after a drain %d, pushed over %d", verdict.asked(), verdict.unanswered(), verdict.late(),
                 verdict.doubled(), verdict.afterDrain(), verdict.pushedOver()));
--- a/src/main/java/pondridge/gateway/CreditControl.java
+++ b/src/main/java/pondridge/gateway/CreditControl.java
@@ -46,8 +46,22 @@
         inFlight--;
         if (!turnedAway) {
             limit = Math.min(most, limit + 1 / limit);
-        } else if (now - halvedAt >= pause) {
-            limit = Math.max(LEAST, limit / 2);
+        } else {
+            halve(now, 1);
+        }
+    }
+
+    /** The own clients suffer while these are in work. */
+    void pressed(long now) {
+        if (inFlight > 0) {
+            halve(now, 0);
+        }
+    }
+
+    /** Of what is really in use: a limit far above it would have to be halved over and over to be felt. */
+    private void halve(long now, int justEnded) {
+        if (now - halvedAt >= pause) {
+            limit = Math.max(LEAST, Math.min(limit, inFlight + justEnded) / 2);
             halvedAt = now;
         }
     }
--- a/src/main/java/pondridge/gateway/CrossingBudget.java
+++ b/src/main/java/pondridge/gateway/CrossingBudget.java
@@ -97,6 +97,11 @@
         }
     }
 
+    /** The part of what is free, here and at another site, that a class leaves behind for the others. */
+    double kept(int number) {
+        return parts.get(number).kept;
+    }
+
     /** Whether one of a class may cross now; it then counts. */
     boolean take(int number, long now) {
         Bucket its = own.get(number);
--- a/src/main/java/pondridge/gateway/Dispatcher.java
+++ b/src/main/java/pondridge/gateway/Dispatcher.java
@@ -45,10 +45,15 @@
     private final LongSupplier clock;
     private final Map<Long, Journey> journeys = new HashMap<>();
     private final Counts counts = new Counts();
+    private final Log log;
+    private final Pressure pressure = new Pressure();
+    private OwnSite.State told = OwnSite.State.IN;
+    private Runnable pressed = () -> { };
     private long lastId;
 
     Dispatcher(EventLoop loop, String site, Router router, OwnSite ownSite, Engine own,
-            Map<String, FarSite> others, JobReader reader, long freshness, LongSupplier clock) {
+            Map<String, FarSite> others, JobReader reader, long freshness, Log log, LongSupplier clock) {
+        this.log = log;
         this.loop = loop;
         this.site = site;
         this.router = router;
@@ -60,6 +65,31 @@
         this.clock = clock;
     }
 
+    /** Whom to tell when the own clients suffer at their own site. */
+    void whenPressed(Runnable listener) {
+        pressed = listener;
+    }
+
+    /** Says in the log when the own site counts as cut, as returning, or as back. */
+    void tellOwnSite() {
+        OwnSite.State now = ownSite.state();
+        if (now != told) {
+            told = now;
+            log.warn("own_site", "", switch (now) {
+                case CUT -> "cut, " + ownSite.why();
+                case RETURNING -> "returning, " + ownSite.why();
+                case IN -> "in, it has all its requests again";
+            });
+        }
+    }
+
+    private void ownEnded(Journey journey, boolean served) {
+        if (!journey.trail.byLink() && ownSite.state() == OwnSite.State.IN
+                && pressure.ended(served && clock.getAsLong() - journey.began <= journey.kind.aim())) {
+            pressed.run();
+        }
+    }
+
     Counts counts() {
         return counts;
     }
@@ -116,6 +146,7 @@
         private final RequestClass kind;
         private final Trail trail;
         private final long deadline;
+        private final long began;
         private Requests at;
         private long atId;
         private int legs;
@@ -132,7 +163,8 @@
             this.client = client;
             this.kind = reader.kind(job);
             this.trail = new Trail(job.requestClass(), byLink, lasting(job));
-            this.deadline = clock.getAsLong() + Math.max(1, job.waitMs() * 1_000_000 - ANSWER_ROOM);
+            this.began = clock.getAsLong();
+            this.deadline = began + Math.max(1, job.waitMs() * 1_000_000 - ANSWER_ROOM);
         }
 
         private void next() {
@@ -140,6 +172,7 @@
             Map<String, Router.Site> views = new LinkedHashMap<>();
             others.forEach((name, other) -> views.put(name, other.view(now)));
             Router.Step step = router.next(now, kind, deadline, trail, views);
+            tellOwnSite();
             if (step instanceof Router.Own way) {
                 trail.sent(site, now);
                 across = false;
@@ -188,6 +221,7 @@
         public void served(Answer answer) {
             if (!across) {
                 ownSite.ended(true, clock.getAsLong());
+                ownEnded(this, true);
             }
             counts.crossedServed += across ? 1 : 0;
             counts.served += trail.byLink() ? 0 : 1;
@@ -208,6 +242,9 @@
 
         private void legEnded() {
             trail.ended(!tried.mayHaveRun());
+            if (!across) {
+                ownEnded(this, false);
+            }
             if (!across && tried.sent() > 0) {
                 ownSite.ended(tried.reached() > 0, clock.getAsLong());
             }
--- a/src/main/java/pondridge/gateway/FarSite.java
+++ b/src/main/java/pondridge/gateway/FarSite.java
@@ -10,6 +10,7 @@
 import java.util.List;
 import java.util.Random;
 import java.util.concurrent.TimeUnit;
+import java.util.function.Consumer;
 import java.util.function.LongSupplier;
 import java.util.function.Supplier;
 import java.util.stream.IntStream;
@@ -34,6 +35,13 @@
     private static final int MOST_MISSED = 3;
     private static final long LONGEST_BEAT = 2_000_000_000;
 
+    /**
+     * What is told at each beat of the own site, and who hears how its other gateways see it.
+     *
+     * @param says in the form of {@link Views#said}
+     */
+    record Own(String site, Supplier<String> says, Consumer<Views.Counts> others) { }
+
     private final class Gateway {
         private final String name;
         private final InetSocketAddress address;
@@ -66,7 +74,7 @@
         }
     }
 
-    private final String own;
+    private final Own own;
     private final String site;
     private final EventLoop loop;
     private final GatewaySettings.Link link;
@@ -84,7 +92,7 @@
      * @param options of its decision module, see {@link #options}
      * @param mostOpen requests that may be across at a time
      */
-    FarSite(EventLoop loop, String own, String site, List<InetSocketAddress> addresses,
+    FarSite(EventLoop loop, Own own, String site, List<InetSocketAddress> addresses,
             GatewaySettings.Link link, Options options, Http2Upstreams way, long seed, int mostOpen,
             Log log, LongSupplier clock) {
         this.loop = loop;
@@ -145,18 +153,23 @@
         return engine;
     }
 
-    /** The site as the router sees it: the nearest gateway that takes more, and what all of them take. */
+    /** The site as the router sees it: the nearest gateway, if it can be that takes more; what all take. */
     Router.Site view(long now) {
         LinkTimes nearest = null;
         int credit = 0;
+        int taken = 0;
+        LinkTimes some = null;
         for (Gateway each : gateways) {
             int free = each.usable(now) ? each.free() : 0;
             credit += free;
+            taken += transport.inFlight(each.id);
             if (free > 0 && (nearest == null || each.times.estimate() < nearest.estimate())) {
                 nearest = each.times;
             }
+            some = each.usable(now) ? each.times : some;
         }
-        return new Router.Site(nearest == null ? gateways.get(0).times : nearest, nearest != null, credit);
+        LinkTimes any = some == null ? gateways.get(0).times : some;
+        return new Router.Site(nearest == null ? any : nearest, some != null, credit, taken);
     }
 
     /** How many gateways take requests. */
@@ -178,7 +191,8 @@
         gateway.beating = true;
         gateway.times.owed(true, now);
         HttpHeaders headers = new DefaultHttpHeaders().set("Host", site)
-                .set(LinkHeaders.VERSION, LinkHeaders.SPOKEN).set(LinkHeaders.SITE, own);
+                .set(LinkHeaders.VERSION, LinkHeaders.SPOKEN).set(LinkHeaders.SITE, own.site)
+                .set(LinkHeaders.VIEW, own.says.get());
         Job job = new Job(0, 0, 0, 0, 0, false, HttpMethod.GET, LinkHeaders.BEAT, headers, new byte[0]);
         long wait = Math.min(LONGEST_BEAT, 8 * Math.max(link.stall(), gateway.times.estimate()));
         transport.beat(gateway.id, job, wait, (outcome, answer, load) -> {
@@ -206,6 +220,7 @@
         }
         transport.stamp(gateway.id, stamp);
         gateway.credit = credit;
+        own.others.accept(Views.Counts.read(answer.headers().get(LinkHeaders.OTHERS)));
         return true;
     }
 
--- a/src/main/java/pondridge/gateway/Gateway.java
+++ b/src/main/java/pondridge/gateway/Gateway.java
@@ -13,11 +13,13 @@
 import java.util.HashMap;
 import java.util.LinkedHashMap;
 import java.util.List;
+import java.util.LongSummaryStatistics;
 import java.util.Map;
 import java.util.Random;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.TimeUnit;
 import java.util.function.LongSupplier;
+import pondridge.Balancer.Limits;
 import pondridge.Balancer.ListKind;
 import pondridge.Balancer.State;
 import pondridge.Options;
@@ -50,7 +52,9 @@
     private final LinkFront linkFront;
     private final GrpcFront grpc;
     private final Map<String, FarSite> others = new LinkedHashMap<>();
-    private final Map<String, State> servers = new HashMap<>();
+    private final Map<String, Target> servers = new HashMap<>();
+    private final Limits rules;
+    private long lastStart;
     private final StartTimes starts;
     private final SharedStore store;
     private final LinkTls tls;
@@ -88,6 +92,7 @@
                 : Split.of(settings.plan(), settings.site(), options.names("profiles"));
         Router router = new Router(settings.site(), ownSite, budget, crossing.leastWork(), link.freshness(),
                 split);
+        this.rules = options.settings().limits();
         this.starts = new StartTimes(settings.clockError() / 1_000_000);
         this.store = settings.store() == null ? null : Sharing.begin(loop, own, settings.store(),
                 options.settings().limits(), seed);
@@ -97,11 +102,17 @@
         JobReader reader = new JobReader(options);
         Random random = new Random(seed);
         Options far = FarSite.options(options, link.freshness());
-        settings.sites().forEach((name, addresses) -> others.put(name, new FarSite(loop, settings.site(),
+        String self = Long.toHexString(random.nextLong());
+        FarSite.Own seen = new FarSite.Own(settings.site(), () -> Views.said(self, ownSite.state()),
+                counts -> {
+                    ownSite.others(counts, clock.getAsLong());
+                    tellOwnSite();
+                });
+        settings.sites().forEach((name, addresses) -> others.put(name, new FarSite(loop, seen,
                 name, addresses, link, far, new Http2Upstreams(loop, far, link.http2(), dialler(name)),
                 random.nextLong(), mostOpen, log, clock)));
         this.dispatcher = new Dispatcher(loop, settings.site(), router, ownSite, own, others, reader,
-                link.freshness(), clock);
+                link.freshness(), log, clock);
         this.frontend = new Frontend(dispatcher, options, mostOpen);
         GrpcSettings spoken = settings.upstreams().grpc();
         this.grpc = spoken == null || spoken.listen() == null ? null
@@ -109,6 +120,11 @@
                         log::warn);
         this.linkFront = new LinkFront(loop, link, tls, settings.sites().keySet(), dispatcher, reader,
                 random.nextLong(), log, clock);
+        dispatcher.whenPressed(linkFront::pressed);
+    }
+
+    private void tellOwnSite() {
+        dispatcher.tellOwnSite();
     }
 
     private Dialler dialler(String site) {
@@ -189,11 +205,20 @@
         if (kind == ListKind.FULL) {
             servers.clear();
         }
-        targets.forEach(target -> servers.put(target.uid(), target.state()));
-        servers.values().removeIf(State.GONE::equals);
-        if (kind != ListKind.FAILED && !servers.containsValue(State.READY)) {
+        targets.forEach(target -> servers.put(target.uid(), target));
+        servers.values().removeIf(each -> each.state() == State.GONE);
+        LongSummaryStatistics started = servers.values().stream().filter(each -> each.state() == State.READY)
+                .mapToLong(Target::startedMs).summaryStatistics();
+        long now = System.currentTimeMillis();
+        if (kind != ListKind.FAILED && started.getCount() == 0) {
             ownSite.noneReady(clock.getAsLong());
+        } else if (started.getCount() > 0 && started.getMax() != lastStart
+                && now - started.getMin() < rules.rampTime() / 1_000_000) {
+            lastStart = started.getMax();
+            ownSite.started(clock.getAsLong() - Math.max(0, now - lastStart) * 1_000_000, rules.coldShare(),
+                    rules.rampTime());
         }
+        tellOwnSite();
     }
 
     /** Where it stands, for whoever shows it: counts by name. */
--- a/src/main/java/pondridge/gateway/LinkFront.java
+++ b/src/main/java/pondridge/gateway/LinkFront.java
@@ -8,6 +8,7 @@
 import io.netty.channel.EventLoop;
 import io.netty.channel.SimpleChannelInboundHandler;
 import io.netty.handler.codec.http.DefaultFullHttpResponse;
+import io.netty.handler.codec.http.DefaultHttpHeaders;
 import io.netty.handler.codec.http.FullHttpRequest;
 import io.netty.handler.codec.http.FullHttpResponse;
 import io.netty.handler.codec.http.HttpHeaders;
@@ -59,6 +60,7 @@
     private final Log log;
     private final AnswerMemory<Visit, Kept> memory;
     private final Map<String, CreditControl> credits = new HashMap<>();
+    private final Views views = new Views();
     private long repeats;
     private boolean draining;
 
@@ -106,6 +108,11 @@
         return door.connections();
     }
 
+    /** The own clients suffer: other sites get less credit. */
+    void pressed() {
+        credits.values().forEach(credit -> credit.pressed(clock.getAsLong()));
+    }
+
     /** From now on new requests are turned away unseen, and beats bring no credit. */
     void drain() {
         draining = true;
@@ -145,7 +152,8 @@
             if (!LinkHeaders.SPOKEN.equals(headers.get(LinkHeaders.VERSION))) {
                 turnAway("version", "speaks version " + headers.get(LinkHeaders.VERSION));
             } else if (request.uri().equals(LinkHeaders.BEAT)) {
-                answer(HttpResponseStatus.OK, new byte[0], null);
+                answer(HttpResponseStatus.OK, new byte[0], new DefaultHttpHeaders().set(LinkHeaders.OTHERS,
+                        views.heard(site, headers.get(LinkHeaders.VIEW), now).text()));
             } else if (!"1".equals(headers.get(LinkHeaders.HOPS))) {
                 turnAway("loop", "a request has come by " + headers.get(LinkHeaders.HOPS) + " links");
             } else if (!stamps.fresh(headers.get(LinkHeaders.STAMP), now)) {
--- a/src/main/java/pondridge/gateway/LinkHeaders.java
+++ b/src/main/java/pondridge/gateway/LinkHeaders.java
@@ -20,6 +20,10 @@
     static final String LEFT = "bankflow-left-ms";
     /** With an answer: how many more requests the far gateway takes from this site just now. */
     static final String CREDIT = "bankflow-credit";
+    /** With a beat: how the sender sees its own site, see {@link Views}; an older version says nothing. */
+    static final String VIEW = "bankflow-view";
+    /** With a beat's answer: how the other gateways of the asking site see it. */
+    static final String OTHERS = "bankflow-others";
     /** With an answer: the one a request gave before, with no second run. */
     static final String REPLAYED = "bankflow-replayed";
     /** With an answer that says that nothing of the request has run: as servers say it. */
--- a/src/main/java/pondridge/gateway/OwnSite.java
+++ b/src/main/java/pondridge/gateway/OwnSite.java
@@ -22,6 +22,7 @@
     record Limits(int misses, long trial, long steady, double firstShare, long doubling) { }
 
     private static final int MOST_RELAPSES = 4;
+    private static final int FEWEST_MISSES = 2;
     private final Limits limits;
     private State state = State.IN;
     private int missesInRow;
@@ -31,6 +32,11 @@
     private long goodSince = -1;
     private double owedToOwn;
 
+    private String why = "";
+    private long coldAt;
+    private double coldShare;
+    private long coldRamp;
+
     OwnSite(Limits limits, long now) {
         this.limits = limits;
         this.since = now;
@@ -40,8 +46,14 @@
         return state;
     }
 
+    /** Why it is cut or returning, in words for the log. */
+    String why() {
+        return why;
+    }
+
     /** No server is ready: nothing needs to be tried to know that the site is cut. */
     void noneReady(long now) {
+        why = "no server of it is listed as ready";
         cut(now);
     }
 
@@ -51,6 +63,7 @@
             missesInRow++;
             goodSince = -1;
             if (missesInRow >= limits.misses() || state == State.RETURNING) {
+                why = missesInRow + " tries in a row reached no server";
                 cut(now);
             }
             return;
@@ -59,13 +72,57 @@
         if (state == State.CUT) {
             goodSince = goodSince < 0 ? now : goodSince;
             if (now - goodSince >= limits.steady() << Math.min(relapses, MOST_RELAPSES)) {
-                state = State.RETURNING;
-                since = now;
-                owedToOwn = 0;
+                why = "trials of it went well";
+                returning(now);
             }
         }
     }
 
+    /**
+     * What the site's other gateways say of it, through other sites: a hint beside own evidence, never in
+     * its place. Who has seen a trial go well returns with those who return already, and who has missed twice
+     * goes with those who hold it for cut; so views differ for some beats and a trial, and not for as long as
+     * each takes by itself.
+     */
+    void others(Views.Counts counts, long now) {
+        if (state == State.CUT && goodSince >= 0 && counts.returning() + counts.in() > 0) {
+            why = "a trial of it went well and another gateway returns";
+            returning(now);
+        } else if (state == State.IN && missesInRow >= FEWEST_MISSES && counts.cut() > 0) {
+            why = missesInRow + " tries in a row reached no server and another gateway holds it for cut";
+            cut(now);
+        }
+    }
+
+    /**
+     * All servers of the site have just started. Danger: each gateway would send them all it has from one
+     * moment to the next, and wait in line before cold servers while others have room; so the site takes its
+     * load as it grows warm, from {@code share} of it, evenly over {@code ramp}.
+     */
+    void started(long now, double share, long ramp) {
+        coldAt = now;
+        coldShare = share;
+        coldRamp = ramp;
+        if (state == State.IN) {
+            why = "all its servers have just started";
+            returning(now);
+            // They answer, so it begins with what they can do.
+            double doublings = Math.log(Math.max(1, share / limits.firstShare())) / Math.log(2);
+            since -= (long) (limits.doubling() * doublings);
+        }
+    }
+
+    /** The part of its load that a site whose servers have just started can do. */
+    private double warmth(long now) {
+        return coldRamp == 0 ? 1 : coldShare + (1 - coldShare) * (now - coldAt) / coldRamp;
+    }
+
+    private void returning(long now) {
+        state = State.RETURNING;
+        since = now;
+        owedToOwn = 0;
+    }
+
     private void cut(long now) {
         goodSince = -1;
         if (state != State.CUT) {
@@ -90,7 +147,8 @@
                 return true;
             }
             default -> {
-                double share = limits.firstShare() * Math.pow(2, (now - since) / (double) limits.doubling());
+                double share = Math.min(warmth(now),
+                        limits.firstShare() * Math.pow(2, (now - since) / (double) limits.doubling()));
                 if (share >= 1) {
                     state = State.IN;
                     relapses = 0;
--- a/src/main/java/pondridge/gateway/Router.java
+++ b/src/main/java/pondridge/gateway/Router.java
@@ -1,7 +1,10 @@
 package pondridge.gateway;
 
 import java.util.Map;
+import java.util.Set;
 import java.util.TreeMap;
+import java.util.TreeSet;
+import java.util.stream.Collectors;
 import pondridge.Balancer.RequestClass;
 import pondridge.Balancer.Scope;
 import pondridge.Balancer.Semantics;
@@ -40,8 +43,18 @@
     /** The final answer: failed, with no promise about effects. */
     record Fail() implements Step { }
 
-    /** Another site as it is seen from here; {@code credit} is how many more it takes just now. */
-    record Site(LinkTimes link, boolean up, int credit) { }
+    /**
+     * Another site as it is seen from here.
+     *
+     * @param up some gateway there can be reached
+     * @param credit how many more it takes just now, besides those that are {@code taken}
+     */
+    record Site(LinkTimes link, boolean up, int credit, int taken) {
+        /** Whether there is credit for a class that leaves such a part of it behind for others. */
+        private boolean takes(double kept) {
+            return credit > 0 && credit > kept * (credit + taken);
+        }
+    }
 
     /**
      * A request goes to the own site once, and to another one twice, there by another of its gateways; once
@@ -96,10 +109,11 @@
         }
         // Danger: what goes beyond the plan finds no room there and takes it from who would. Who has been on
         // his way before, and who finds the own site full while it stands, is not measured by the plan.
+        Set<String> reached = reached(now, sites);
         boolean planned = ownSite.state() != OwnSite.State.CUT || !trail.fresh()
-                || split.admits(trail.requestClass(), trail.key());
+                || split.admits(trail.requestClass(), trail.key(), reached);
         if (!trail.byLink() && planned) {
-            Across across = across(now, left, kind, trail, sites);
+            Across across = across(now, left, kind, trail, sites, reached);
             if (across != null) {
                 return across;
             }
@@ -131,19 +145,27 @@
         });
     }
 
+    private static Set<String> reached(long now, Map<String, Site> sites) {
+        return sites.entrySet().stream()
+                .filter(each -> each.getValue().up && !each.getValue().link.stalled(now))
+                .map(Map.Entry::getKey).collect(Collectors.toCollection(TreeSet::new));
+    }
+
     /** The site that the plan gives it, else the nearest that can take it; its crossing is then paid for. */
-    private Across across(long now, long left, RequestClass kind, Trail trail, Map<String, Site> sites) {
+    private Across across(long now, long left, RequestClass kind, Trail trail, Map<String, Site> sites,
+            Set<String> reached) {
+        double kept = budget.kept(trail.requestClass());
         Map<String, Long> able = new TreeMap<>();
         for (Map.Entry<String, Site> each : new TreeMap<>(sites).entrySet()) {
             Site site = each.getValue();
             long trip = site.link.estimate();
-            if (site.up && site.credit > 0 && !site.link.stalled(now) && left - trip > leastWork
+            if (reached.contains(each.getKey()) && site.takes(kept) && left - trip > leastWork
                     && trail.timesAt(each.getKey()) < MOST_ACROSS + trail.waits()
                     && allowed(now, kind, trail, each.getKey(), trip + freshness)) {
                 able.put(each.getKey(), trip);
             }
         }
-        String planned = split.pick(trail.requestClass(), trail.key(), able.keySet());
+        String planned = split.pick(trail.requestClass(), trail.key(), able.keySet(), reached);
         String chosen = planned != null ? planned : able.entrySet().stream()
                 .min(Map.Entry.comparingByValue()).map(Map.Entry::getKey).orElse(null);
         if (chosen == null || !budget.take(trail.requestClass(), now)) {
--- a/src/test/java/pondridge/RoomsTest.java
+++ b/src/test/java/pondridge/RoomsTest.java
@@ -61,7 +61,7 @@
     /** Names of the deciding classes of all rooms; a new one is added here. */
     private static final String DECIDING =
             ".*\\.(StreamTable|Proof|Liveness|ResetBudget|FloodGuard|ProtocolChoice|ColdStart|Router|Trail"
-            + "|LinkTimes|Pool|SharedRoom|CrossingBudget|StartTimes|OwnSite"
+            + "|LinkTimes|Pool|SharedRoom|CrossingBudget|StartTimes|OwnSite|Pressure|Views"
             + "|Stamps|AnswerMemory|CreditControl|Log.LineBudget|HeldBytes|Threads|Keyspace|Commands"
             + "|RequestParser|StoreCircuit|OwnSums|Members|Leases|Demand|Hearsay|ServerSum"
             + "|Report|Topology|LossPlan|LossPlanner|RefusalOrder|Split"
--- a/src/test/java/pondridge/gateway/RouterTest.java
+++ b/src/test/java/pondridge/gateway/RouterTest.java
@@ -38,7 +38,7 @@
     private static Router.Site site(long roundTrip, boolean up, int credit) {
         LinkTimes link = new LinkTimes(10 * MS, 4, 0);
         link.roundTrip(roundTrip, 0);
-        return new Router.Site(link, up, credit);
+        return new Router.Site(link, up, credit, 10 - Math.min(10, credit));
     }
 
     private static Router router(OwnSite own, CrossingBudget budget) {
@@ -306,16 +306,27 @@
         }
         int[] went = new int[3];
         int[] checks = new int[3];
+        long admitted = -1;
         for (long key = 0; key < 8_000; key++) {
             String first = where(gateways.get(0), 2, key, sites);
             assertEquals(first, where(gateways.get(1), 2, key, sites), "the other gateway does the same");
             went["bc-".indexOf(first)]++;
-            checks["bc-".indexOf(where(gateways.get(0), 0, key, sites))]++;
+            String check = where(gateways.get(0), 0, key, sites);
+            admitted = check.equals("-") ? admitted : key;
+            checks["bc-".indexOf(check)]++;
             if (first.equals("c")) {
                 assertEquals("c", where(gateways.get(0), 2, key, Map.of("c", sites.get("c"))), "stays");
             }
             assertEquals("c", where(gateways.get(0), 2, key, Map.of("c", sites.get("c"))), "b is away");
         }
+        int alone = 0;
+        for (long key = 0; key < 8_000; key++) {
+            alone += where(gateways.get(0), 0, key, Map.of("c", sites.get("c"))).equals("c") ? 1 : 0;
+        }
+        assertEquals(0, alone, "without b there is room for what is worth more, and for no check");
+        Map<String, Router.Site> scarce = Map.of("b", site(MS, true, 3), "c", site(5 * MS, true, 3));
+        assertTrue("bc".contains(where(gateways.get(0), 2, 1, scarce)), "3 of 10 are for what is dear");
+        assertEquals("own", where(gateways.get(0), 0, admitted, scarce), "checks try their luck at home");
         assertEquals(0, went[2], "confirmations all fit");
         assertEquals(0.25, went[0] / 8_000.0, 0.02, "by room, not by nearness");
         assertEquals(8_000 * 8 / 10, checks[2], 250, "room for 32 of 40; checks are refused first");
