Write nothing of a request that has ended, however late its connection comes up

Cause, found by reading and forced by test: an attempt whose connection was still coming up was withdrawn only by the module's cancel, so not at all where the settings allow none (`Rules.close`): `Upstreams.Connection.open` wrote it up to the connect time-out later, though its client had left. A keyed repeat was looked at only when it was decided (`Ledger.mayTryAgain`), so a connection that came up after the servers' memory had ended carried it all the same. And netty hands on what can be read before timers that are due: a connection that comes up in the turn in which the deadline is over was written to first. Also: a hang-up while the module was being told something made `Engine.send` return with no outcome, which the module then waits for for ever; and the engine's last timer answered without telling the module.

Ruled out: requests held in the module (`drain` looks at `held`), looks by probe (`decide` looks at `closed`), time-outs (they end the attempt and its connection).

Change: `Transport.Attempt.withdraw`, called for every attempt when its request ends; `Listener.wanted`, asked right before the first byte, on HTTP/1.1 and HTTP/2. The engine says no once the request is over, its time is, or its key's.

--- a/src/main/java/pondridge/core/Engine.java
+++ b/src/main/java/pondridge/core/Engine.java
@@ -9,6 +9,7 @@
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.Objects;
 import java.util.Set;
 import java.util.concurrent.TimeUnit;
 import java.util.function.LongConsumer;
@@ -16,6 +17,8 @@
 import pondridge.Balancer.ListKind;
 import pondridge.Balancer.Outcome;
 import pondridge.Balancer.Request;
+import pondridge.Balancer.RequestClass;
+import pondridge.Balancer.Semantics;
 import pondridge.Balancer.State;
 import pondridge.Balancer.Upstream;
 import pondridge.Options;
@@ -44,6 +47,8 @@
         private int sent;
         private int reached;
         private boolean doubt;
+        /** When the first attempt that may have run was sent. */
+        private long doubtSince;
         private boolean over;
 
         Call(Job job, Client client) {
@@ -51,14 +56,27 @@
             this.client = client;
         }
 
-        private void ended(Outcome outcome) {
+        private void ended(Outcome outcome, long sentAt) {
             out--;
-            doubt |= !outcome.provesNeverRan();
+            if (!doubt && !outcome.provesNeverRan()) {
+                doubt = true;
+                doubtSince = sentAt;
+            }
             boolean answered = outcome == Outcome.OK || outcome == Outcome.ERROR
                     || outcome == Outcome.REJECTED;
             reached += answered ? 1 : 0;
         }
 
+        /**
+         * Nothing more goes out for it: what is not yet written never will be. Danger: a connection that
+         * comes up late would carry a request whose client has left or has its answer.
+         */
+        private void end() {
+            over = true;
+            timer.cancel(false);
+            attempts.stream().filter(Objects::nonNull).forEach(Transport.Attempt::withdraw);
+        }
+
         private void refused(long wait) {
             tell();
             client.refused(wait);
@@ -74,8 +92,54 @@
         }
     }
 
+    /** One attempt, from the module's order to its outcome. */
+    private final class Try implements Transport.Listener {
+        private final long id;
+        private final Call call;
+        private final int number;
+        private final long upstream;
+        private final long sentAt;
+        /** From then on it must not be written any more. */
+        private final long beginBy;
+        private Future<?> tooLate;
+
+        Try(long id, Call call, int number, long upstream, long sentAt) {
+            this.id = id;
+            this.call = call;
+            this.number = number;
+            this.upstream = upstream;
+            this.sentAt = sentAt;
+            RequestClass kind = classes.get(call.job.requestClass());
+            this.beginBy = call.doubt && kind.semantics() == Semantics.BY_KEY
+                    ? Math.min(call.deadline, call.doubtSince + kind.keyTtl()) : call.deadline;
+        }
+
+        void begin(long wait) {
+            call.attempts.set(number, transport.send(upstream, call.job, wait, this));
+            // Danger: a connection may take longer to come up than servers remember the key.
+            if (beginBy < call.deadline) {
+                tooLate = loop.schedule(() -> call.attempts.get(number).withdraw(),
+                        Math.max(0, beginBy - now()), TimeUnit.NANOSECONDS);
+            }
+        }
+
+        @Override
+        public boolean wanted() {
+            return !call.over && now() < beginBy;
+        }
+
+        @Override
+        public void ended(Outcome outcome, Answer answer, float[] load) {
+            if (tooLate != null) {
+                tooLate.cancel(false);
+            }
+            Engine.this.ended(this, outcome, answer, load);
+        }
+    }
+
     private final EventLoop loop;
     private final Balancer rules;
+    private final List<RequestClass> classes;
     private final int tryLimit;
     private final int mostOpen;
     private final Transport transport;
@@ -104,6 +168,7 @@
         Balancer.Settings settings = options.settings();
         this.loop = loop;
         this.rules = new Rules(settings, seed, this);
+        this.classes = settings.classes();
         this.tryLimit = settings.allowed().tryLimit();
         this.mostOpen = mostOpen;
         this.transport = transport;
@@ -255,8 +320,10 @@
         Call call = new Call(job, client);
         calls.put(id, call);
         // The module answers by its own deadline; this holds for whatever it may have missed.
-        call.timer = loop.schedule(() -> finish(id, call, call::failed), left + ANSWER_ROOM / 2,
-                TimeUnit.NANOSECONDS);
+        call.timer = loop.schedule(() -> tell(now -> {
+            finish(id, call, call::failed);
+            rules.hangup(now, id);
+        }), left + ANSWER_ROOM / 2, TimeUnit.NANOSECONDS);
         tell(now -> {
             call.deadline = now + left;
             rules.request(now, new Request(id, job.requestClass(), job.tenant(), job.key(), left,
@@ -269,8 +336,12 @@
     public void hangup(long id) {
         Call call = calls.get(id);
         if (call != null && !call.over) {
-            finish(id, call, () -> { });
-            tell(now -> rules.hangup(now, id));
+            call.end();
+            // Kept until the module knows: what it may order meanwhile has to get an outcome, too.
+            tell(now -> {
+                rules.hangup(now, id);
+                forget(id, call);
+            });
         }
     }
 
@@ -286,8 +357,7 @@
 
     private void finish(long id, Call call, Runnable answer) {
         if (!call.over) {
-            call.over = true;
-            call.timer.cancel(false);
+            call.end();
             answer.run();
             forget(id, call);
         }
@@ -308,34 +378,33 @@
         }
         int number = call.attempts.size();
         call.out++;
-        if (call.over || now >= call.deadline || number >= tryLimit) {
-            call.attempts.add(null);
-            ended(request, call, number, upstream, now, Outcome.NEVER_SENT, null, new float[0]);
+        call.attempts.add(null);
+        Try next = new Try(request, call, number, upstream, now);
+        if (call.over || now >= next.beginBy || number >= tryLimit) {
+            ended(next, Outcome.NEVER_SENT, null, LoadReports.NONE);
             return;
         }
         long wait = call.deadline - now;
         if (timeout > 0) {
             wait = Math.min(wait, timeout);
         }
-        call.attempts.add(null);
         call.sent++;
-        call.attempts.set(number, transport.send(upstream, call.job, wait,
-                (outcome, answer, load) ->
-                        ended(request, call, number, upstream, now, outcome, answer, load)));
+        next.begin(wait);
     }
 
-    private void ended(long id, Call call, int number, long upstream, long sentAt, Outcome outcome,
-            Answer answer, float[] load) {
+    private void ended(Try attempt, Outcome outcome, Answer answer, float[] load) {
+        Call call = attempt.call;
         tell(now -> {
-            call.ended(outcome);
-            if (observer != null && list.name(upstream) != null) {
-                observer.ended(list.name(upstream), call.job.requestClass(), outcome, now - sentAt);
+            long took = now - attempt.sentAt;
+            call.ended(outcome, attempt.sentAt);
+            if (observer != null && list.name(attempt.upstream) != null) {
+                observer.ended(list.name(attempt.upstream), call.job.requestClass(), outcome, took);
             }
             if (outcome == Outcome.OK) {
-                finish(id, call, () -> call.client.served(answer));
+                finish(attempt.id, call, () -> call.client.served(answer));
             }
-            rules.outcome(now, id, number, upstream, outcome, now - sentAt, call.over, load);
-            forget(id, call);
+            rules.outcome(now, attempt.id, attempt.number, attempt.upstream, outcome, took, call.over, load);
+            forget(attempt.id, call);
         });
     }
 
--- a/src/main/java/pondridge/core/Transport.java
+++ b/src/main/java/pondridge/core/Transport.java
@@ -1,6 +1,7 @@
 package pondridge.core;
 
 import java.net.InetSocketAddress;
+import java.util.function.Consumer;
 import pondridge.Balancer.Outcome;
 
 /**
@@ -21,12 +22,54 @@
          * @param load the load report that came with it, in the settings' order; empty for none
          */
         void ended(Outcome outcome, Answer answer, float[] load);
+
+        /**
+         * Asked right before the request's first byte is written. False: nothing of it is written, and the
+         * attempt ends as {@link Outcome#NEVER_SENT}. A connection may come up in the same turn of the loop
+         * in which the request's time ends, and before that is told.
+         */
+        default boolean wanted() {
+            return true;
+        }
+
+        /** The same listener, with something that is done first when the attempt ends. */
+        default Listener after(Consumer<Outcome> first) {
+            Listener told = this;
+            return new Listener() {
+                @Override
+                public void ended(Outcome outcome, Answer answer, float[] load) {
+                    first.accept(outcome);
+                    told.ended(outcome, answer, load);
+                }
+
+                @Override
+                public boolean wanted() {
+                    return told.wanted();
+                }
+            };
+        }
     }
 
     /** One sending of a request. */
     interface Attempt {
         /** Gives it up: it ends now, as {@link Outcome#CANCELLED} unless it has ended before. */
         void cancel();
+
+        /**
+         * Its request has ended. Unless its last byte is written, nothing more of it is, and it ends now as
+         * {@link Outcome#NEVER_SENT}; else it goes on, and so does one that has ended. No work is stopped by
+         * it, so it needs no permission to cancel.
+         */
+        void withdraw();
+
+        /** One that has ended. */
+        Attempt ENDED = new Attempt() {
+            @Override
+            public void cancel() { }
+
+            @Override
+            public void withdraw() { }
+        };
     }
 
     /**
--- a/src/main/java/pondridge/gateway/LinkTransport.java
+++ b/src/main/java/pondridge/gateway/LinkTransport.java
@@ -55,15 +55,13 @@
         long gateway = gatewayOf.get(upstream);
         if (left <= 0 || !stamps.containsKey(gateway)) {
             listener.ended(Outcome.NEVER_SENT, null, LoadReports.NONE);
-            return () -> { };
+            return Attempt.ENDED;
         }
         // One attempt of a request is on its way at a time, so its headers are this one's.
         job.headers().set(LinkHeaders.STAMP, stamps.get(gateway)).set(LinkHeaders.LEFT, left);
         inFlight.merge(gateway, 1, Integer::sum);
-        return way.send(gateway, job, wait, (outcome, answer, load) -> {
-            inFlight.merge(gateway, -1, Integer::sum);
-            listener.ended(outcome, answer, load);
-        });
+        return way.send(gateway, job, wait,
+                listener.after(outcome -> inFlight.merge(gateway, -1, Integer::sum)));
     }
 
     /** Sends a beat, which is no request: it needs no stamp and counts as nothing in flight. */
--- a/src/main/java/pondridge/http1/Upstreams.java
+++ b/src/main/java/pondridge/http1/Upstreams.java
@@ -250,6 +250,13 @@
             end(Outcome.CANCELLED);
         }
 
+        @Override
+        public void withdraw() {
+            if (!written) {
+                end(Outcome.NEVER_SENT);
+            }
+        }
+
         private void late() {
             end(written ? Outcome.TIMEOUT : Outcome.CONNECT_FAILED);
         }
@@ -261,6 +268,8 @@
         /** Ends it without an answer, unless it has ended before; its connection is of no further use. */
         private void end(Outcome outcome) {
             if (!over) {
+                // First: closing one that is coming up tells its end at once, as if none had come.
+                over = true;
                 if (connection != null) {
                     connection.close();
                 }
@@ -384,6 +393,10 @@
             current = attempt;
             attempt.connection = this;
             interim = 0;
+            if (!attempt.listener.wanted()) {
+                attempt.end(Outcome.NEVER_SENT);
+                return;
+            }
             channel.writeAndFlush(attempt.request).addListener(done -> {
                 if (done.isSuccess()) {
                     attempt.written = true;
--- a/src/main/java/pondridge/http2/Connection.java
+++ b/src/main/java/pondridge/http2/Connection.java
@@ -172,6 +172,10 @@
         apply(table.cancelled(id));
     }
 
+    void withdraw(int id) {
+        apply(table.withdrawn(id));
+    }
+
     /** Nothing that has not wholly left goes to the upstream any more; closes when all is answered. */
     void drain() {
         applyAll(table.drain());
--- a/src/main/java/pondridge/http2/Http2Upstreams.java
+++ b/src/main/java/pondridge/http2/Http2Upstreams.java
@@ -127,7 +127,7 @@
     public Transport.Attempt send(long upstream, Job job, long wait, Listener listener) {
         if (!wording.fits(job)) {
             listener.ended(Outcome.NEVER_SENT, null, LoadReports.NONE);
-            return () -> { };
+            return Attempt.ENDED;
         }
         ServerPool pool = pools.getOrDefault(upstream, nobody);
         Sending attempt = new Sending(pool, job, System.nanoTime() + wait, listener);
--- a/src/main/java/pondridge/http2/Sending.java
+++ b/src/main/java/pondridge/http2/Sending.java
@@ -95,6 +95,20 @@
         }
     }
 
+    @Override
+    public void withdraw() {
+        if (!over && connection != null) {
+            connection.withdraw(stream);
+        } else if (!over) {
+            pool.leave(this, Outcome.NEVER_SENT);
+        }
+    }
+
+    /** Whether it is still to be written. */
+    boolean wanted() {
+        return listener.wanted();
+    }
+
     /** Ends it, once, and tells. */
     void end(Outcome told, LoadReports reports, Wording wording) {
         if (over) {
--- a/src/main/java/pondridge/http2/ServerPool.java
+++ b/src/main/java/pondridge/http2/ServerPool.java
@@ -121,7 +121,11 @@
 
     @Override
     public void place(Connection connection, Sending attempt) {
-        connection.write(attempt, System.nanoTime());
+        if (attempt.wanted()) {
+            connection.write(attempt, System.nanoTime());
+        } else {
+            ended(attempt, Outcome.NEVER_SENT);
+        }
     }
 
     @Override
--- a/src/main/java/pondridge/http2/StreamTable.java
+++ b/src/main/java/pondridge/http2/StreamTable.java
@@ -260,6 +260,13 @@
         return stream == null ? null : end(stream, Outcome.CANCELLED, true);
     }
 
+    /** The attempt's request has ended: one that has not wholly left ends now, null where it goes on. */
+    End<T> withdrawn(int id) {
+        Stream<T> stream = streams.get(id);
+        return stream == null || !proof.unsent(stream.handed, stream.answering()) ? null
+                : end(stream, Outcome.NEVER_SENT, true);
+    }
+
     /** A stream that had been given up is reset now, and no more counted. */
     void closed(int id) {
         streams.remove(id);
--- a/src/main/java/pondridge/transport/MixedUpstreams.java
+++ b/src/main/java/pondridge/transport/MixedUpstreams.java
@@ -198,10 +198,8 @@
             }
             timer.cancel(false);
             long left = Math.max(1, endsAt - System.nanoTime());
-            real = way.send(upstream, job, left, (outcome, answer, load) -> {
-                server.choice.ended(outcome, System.nanoTime());
-                listener.ended(outcome, answer, load);
-            });
+            real = way.send(upstream, job, left,
+                    listener.after(outcome -> server.choice.ended(outcome, System.nanoTime())));
         }
 
         /** Ends it unsent. */
@@ -222,5 +220,14 @@
                 end(Outcome.CANCELLED);
             }
         }
+
+        @Override
+        public void withdraw() {
+            if (real != null) {
+                real.withdraw();
+            } else {
+                end(Outcome.NEVER_SENT);
+            }
+        }
     }
 }
--- /dev/null
+++ b/src/test/java/pondridge/http1/LateConnection.java
@@ -0,0 +1,53 @@
+package pondridge.http1;
+
+import java.io.IOException;
+import java.net.InetAddress;
+import java.net.InetSocketAddress;
+import java.net.ServerSocket;
+import java.net.Socket;
+import java.net.SocketTimeoutException;
+import java.util.ArrayList;
+import java.util.List;
+
+/** A listener whose queue is full: its machine is there, but no connection comes up until {@link #accept}. */
+public final class LateConnection implements AutoCloseable {
+    private final ServerSocket server = new ServerSocket(0, 1, InetAddress.getLoopbackAddress());
+    private final List<Socket> fillers = new ArrayList<>();
+
+    public LateConnection() throws IOException {
+        server.setSoTimeout((int) (Stub.LIMIT_S * 1000));
+        while (true) {
+            Socket filler = new Socket();
+            fillers.add(filler);
+            try {
+                filler.connect(server.getLocalSocketAddress(), 300);
+            } catch (SocketTimeoutException e) {
+                return;
+            }
+        }
+    }
+
+    public InetSocketAddress address() {
+        return (InetSocketAddress) server.getLocalSocketAddress();
+    }
+
+    /** Makes room, and returns the connection that has waited for it. */
+    public Socket accept() throws IOException {
+        for (Socket filler : fillers) {
+            if (filler.isConnected()) {
+                server.accept().close();
+            }
+        }
+        Socket late = server.accept();
+        late.setSoTimeout((int) (Stub.LIMIT_S * 1000));
+        return late;
+    }
+
+    @Override
+    public void close() throws IOException {
+        for (Socket filler : fillers) {
+            filler.close();
+        }
+        server.close();
+    }
+}
--- a/src/test/java/pondridge/http1/UpstreamsTest.java
+++ b/src/test/java/pondridge/http1/UpstreamsTest.java
@@ -8,16 +8,12 @@
 import io.netty.channel.nio.NioIoHandler;
 import io.netty.handler.codec.http.DefaultHttpHeaders;
 import io.netty.handler.codec.http.HttpMethod;
-import java.io.IOException;
-import java.net.InetAddress;
 import java.net.InetSocketAddress;
-import java.net.ServerSocket;
 import java.net.Socket;
-import java.net.SocketTimeoutException;
 import java.nio.charset.StandardCharsets;
-import java.util.ArrayList;
 import java.util.List;
 import java.util.concurrent.BlockingQueue;
+import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.LinkedBlockingQueue;
 import java.util.concurrent.TimeUnit;
 import org.junit.jupiter.api.AfterEach;
@@ -26,6 +22,8 @@
 import pondridge.Options;
 import pondridge.core.Answer;
 import pondridge.core.Job;
+import pondridge.core.Transport;
+import pondridge.core.Transport.Listener;
 
 /** Attempts and probes on real connections, and what they end as. */
 class UpstreamsTest {
@@ -60,48 +58,85 @@
         outcomes.add(outcome);
     }
 
-    /** A listener whose queue is full: its machine is there, but no connection comes up. */
-    private static List<Socket> fill(ServerSocket server) throws IOException {
-        List<Socket> fillers = new ArrayList<>();
-        while (true) {
-            Socket filler = new Socket();
-            fillers.add(filler);
-            try {
-                filler.connect(server.getLocalSocketAddress(), 300);
-            } catch (SocketTimeoutException e) {
-                return fillers;
-            }
-        }
-    }
-
     /** Once a drain is told, a request that waits for its connection must not go there any more. */
     @Test
     void drainEndsTheWaitForAConnection() throws Exception {
-        try (ServerSocket full = new ServerSocket(0, 1, InetAddress.getLoopbackAddress())) {
-            List<Socket> fillers = fill(full);
-            InetSocketAddress address = (InetSocketAddress) full.getLocalSocketAddress();
-            Upstreams upstreams = upstreams(address, LONG, 10);
+        try (LateConnection full = new LateConnection()) {
+            Upstreams upstreams = upstreams(full.address(), LONG, 10);
             send(upstreams);
-            loop.execute(() -> upstreams.listed(1, address, 0, false));
+            loop.execute(() -> upstreams.listed(1, full.address(), 0, false));
             assertEquals(Outcome.CONNECT_FAILED, Stub.next(outcomes));
             send(upstreams);
             assertEquals(Outcome.CONNECT_FAILED, Stub.next(outcomes), "nor does a later one");
-            for (Socket filler : fillers) {
-                filler.close();
-            }
         }
     }
 
     /** A machine that is cut off says nothing: the connect time-out, not the request's, ends the wait. */
     @Test
     void silentConnectFailsAtItsOwnTimeout() throws Exception {
-        try (ServerSocket full = new ServerSocket(0, 1, InetAddress.getLoopbackAddress())) {
-            List<Socket> fillers = fill(full);
-            send(upstreams((InetSocketAddress) full.getLocalSocketAddress(), 100_000_000, 10));
+        try (LateConnection full = new LateConnection()) {
+            send(upstreams(full.address(), 100_000_000, 10));
             assertEquals(Outcome.CONNECT_FAILED, Stub.next(outcomes));
-            for (Socket filler : fillers) {
-                filler.close();
+        }
+    }
+
+    /** Nothing of a request that has ended is written, on a connection that comes up late or is idle. */
+    @Test
+    void whatIsNoLongerWantedIsNotWritten() throws Exception {
+        Listener unwanted = new Listener() {
+            @Override
+            public void ended(Outcome outcome, Answer answer, float[] load) {
+                outcomes.add(outcome);
             }
+
+            @Override
+            public boolean wanted() {
+                return false;
+            }
+        };
+        try (LateConnection late = new LateConnection(); Stub upstream = Stub.serving("x")) {
+            Upstreams upstreams = upstreams(late.address(), LONG, 10);
+            loop.execute(() -> upstreams.send(1, get("/api/x"), LONG, unwanted));
+            try (Socket came = late.accept()) {
+                assertEquals(-1, came.getInputStream().read(), "it ends with nothing written to it");
+            }
+            assertEquals(Outcome.NEVER_SENT, Stub.next(outcomes));
+            loop.execute(() -> upstreams.listed(1, upstream.address(), 0, true));
+            send(upstreams);
+            assertEquals(Outcome.OK, Stub.next(outcomes));
+            loop.execute(() -> upstreams.send(1, get("/api/never"), LONG, unwanted));
+            assertEquals(Outcome.NEVER_SENT, Stub.next(outcomes));
+            send(upstreams);
+            assertEquals(Outcome.OK, Stub.next(outcomes));
+            assertEquals(2, upstream.heads.size());
+        }
+    }
+
+    /** A request that has ended ends its attempt at once while that waits to be written, and only then. */
+    @Test
+    void withdrawingEndsWhatIsNotYetWritten() throws Exception {
+        CountDownLatch go = new CountDownLatch(1);
+        try (LateConnection late = new LateConnection(); Stub held = new Stub((socket, head) -> {
+            try {
+                return go.await(Stub.LIMIT_S, TimeUnit.SECONDS) && Stub.reply(socket, "200 OK", "", "x");
+            } catch (InterruptedException e) {
+                return false;
+            }
+        })) {
+            Upstreams upstreams = upstreams(late.address(), LONG, 10);
+            loop.execute(() -> upstreams.send(1, get("/api/x"), LONG, this::ended).withdraw());
+            assertEquals(Outcome.NEVER_SENT, Stub.next(outcomes));
+            Transport.Attempt coming = loop.submit(() -> upstreams.send(1, get("/api/x"), LONG, this::ended))
+                    .get();
+            loop.execute(coming::cancel);
+            assertEquals(Outcome.CANCELLED, Stub.next(outcomes), "nothing against the upstream");
+            loop.execute(() -> upstreams.listed(1, held.address(), 0, true));
+            Transport.Attempt out = loop.submit(() -> upstreams.send(1, get("/api/y"), LONG, this::ended))
+                    .get();
+            Stub.next(held.heads);
+            loop.submit(out::withdraw).sync();
+            go.countDown();
+            assertEquals(Outcome.OK, Stub.next(outcomes), "what has begun goes on");
         }
     }
 
--- a/src/test/java/pondridge/sidecar/Bed.java
+++ b/src/test/java/pondridge/sidecar/Bed.java
@@ -11,7 +11,9 @@
 import java.net.InetSocketAddress;
 import java.net.Socket;
 import java.nio.charset.StandardCharsets;
+import java.util.List;
 import java.util.concurrent.TimeUnit;
+import java.util.function.Consumer;
 import pondridge.core.Engine;
 import pondridge.core.Json;
 import pondridge.http1.Frontend;
@@ -37,9 +39,15 @@
     record Answer(int status, String head, String body) { }
 
     Bed(ObjectNode json) throws Exception {
+        this(json, engine -> { });
+    }
+
+    /** {@code before} is told of the engine before it starts. */
+    Bed(ObjectNode json, Consumer<Engine> before) throws Exception {
         Config config = Config.of(json);
         engine = new Engine(loop, config.options(), config.seed(), MOST,
                 new Upstreams(loop, config.options(), config.mostUpstream()));
+        before.accept(engine);
         discovery = new Discovery(loop, config.discovery(), config.known().rev(), engine::listed);
         frontend = new Frontend(engine, config.options(), MOST);
         loop.submit(() -> engine.start(discovery, config.known().targets())).sync();
@@ -82,6 +90,12 @@
                 .put("boot_ms", 0);
     }
 
+    static ObjectNode list(long rev, boolean all, ObjectNode... targets) {
+        ObjectNode list = Json.MAPPER.createObjectNode().put("rev", rev).put("all", all);
+        list.putArray("targets").addAll(List.of(targets));
+        return list;
+    }
+
     static String look(String id) {
         return "GET /api/7f3a?full=1 HTTP/1.1\r\nHost: app.svc\r\nReq-Id: " + id
                 + "\r\nReq-Kind: look\r\nReq-Owner: acme\r\nReq-Deadline-Ms: " + LONG_MS + "\r\n\r\n";
