Follow pushed lists unasked, and read lists in whatever order and layout they come

Four faults of the list's way in, found by reading: - Where the settings say that lists are pushed the module asks for nothing (`Roster.follow` goes by SUBSCRIBE), as its wire demands; on sockets nobody else did, so such a customer's sidecar never opened a watch and kept the list of its start. What the agent has counts as told all the same. The reader ended an object at its first end of line, so `{` alone was parsed and the call failed, each time anew. - The whole list and the watch come by two connections, and whichever came last won: after a move, when the whole list is asked for beside the watch, an older answer made a draining server ready again and turned the version back. - Silence was noticed after 5 s of the 6 s at which what it hides counts as told; with one failed try (1 s to connect, back-off of a fortieth of `askWithin`) that was too late, and with a grace of 0.5 s nothing was left.

Ruled out: two watches at once (the old one is closed first and says no more); versions that begin anew (nothing newer has come meanwhile; a test holds it).

Change: `ObjectCutter` ends an object where its last brace does; a list that was outrun is dropped, and a whole one asked for again; 3 s of silence; where lists are pushed the watch is opened at the start and anew as soon as it ends, 0.5 s after an agent that says nothing at all. The gateway follows pushed lists likewise.

Result: five new cases of DiscoveryTest. Silence is asserted by the order of two timers of one loop.

--- a/src/main/java/pondridge/cli/GatewayCommand.java
+++ b/src/main/java/pondridge/cli/GatewayCommand.java
@@ -81,11 +81,12 @@
                     platform.mostUpstream());
             Gateway gateway = new Gateway(loop, platform.options(), told.settings(), upstreams,
                     platform.seed(), platform.mostClients(), System::nanoTime);
-            Discovery discovery = new Discovery(loop, platform.discovery(), platform.known().rev(),
-                    gateway::listed);
+            Discovery discovery = new Discovery(loop, platform.discovery(), platform.pushed(),
+                    platform.known().rev(), gateway::listed);
             gateway.start(discovery, platform.known().targets(), platform.listen())
                     .whenComplete((doors, problem) -> {
                         if (problem == null) {
+                            discovery.follow();
                             started.complete(gateway);
                         } else {
                             started.completeExceptionally(problem);
--- a/src/main/java/pondridge/platform/Config.java
+++ b/src/main/java/pondridge/platform/Config.java
@@ -10,6 +10,7 @@
 import java.nio.file.Path;
 import java.util.Map;
 import java.util.StringJoiner;
+import pondridge.Balancer;
 import pondridge.Options;
 import pondridge.core.Json;
 
@@ -48,6 +49,11 @@
                 address(root, "discovery"), seed(root), sockets, known, options);
     }
 
+    /** Whether lists come to an agent on this machine, instead of being asked for. */
+    public boolean pushed() {
+        return options.settings().discovery() == Balancer.Discovery.AUTOMATIC;
+    }
+
     /** Of the descriptors: clients may need a third for requests at once, and some are on their way out. */
     public int mostClients() {
         return sockets * 3 / 8;
--- a/src/main/java/pondridge/platform/Discovery.java
+++ b/src/main/java/pondridge/platform/Discovery.java
@@ -21,10 +21,8 @@
 import io.netty.handler.codec.http.HttpVersion;
 import io.netty.handler.codec.http.LastHttpContent;
 import io.netty.util.concurrent.Future;
-import java.io.ByteArrayOutputStream;
 import java.io.IOException;
 import java.net.InetSocketAddress;
-import java.nio.charset.StandardCharsets;
 import java.util.ArrayList;
 import java.util.HashSet;
 import java.util.List;
@@ -37,12 +35,24 @@
 import pondridge.core.Json;
 import pondridge.core.Target;
 
-/** Asks discovery for the list: a watch on its changes, or the whole once. The module decides when. */
+/**
+ * Asks discovery for the list: a watch on its changes, or the whole once. Where discovery is asked the module
+ * decides when. Where lists are pushed nobody orders it: what the agent has counts as told from the first
+ * moment and whether or not a watch is open, so one is opened at once, and anew as soon as it ends.
+ */
 public final class Discovery implements Directory {
-    /** A call waits for up to 2 s and empty lines come every 2 s: longer silence is a break. */
-    private static final long SILENCE_MS = 5_000;
+    /**
+     * A call waits for up to 2 s and empty lines come every 2 s: longer silence is a break. What it hides
+     * counts as told 6 s after the last word: half of that is left for asking anew, twice if one try fails.
+     */
+    private static final long SILENCE_MS = 3_000;
+    /** An object that is not whole by then never will be, however steadily its bytes come. */
+    private static final long LONGEST_OBJECT = 5_000_000_000L;
+    /** An agent on this machine answers at once; what it learns while a call hangs counts as told at once. */
+    private static final long AGENT_SILENCE_MS = 500;
+    private static final long AGENT_AGAIN_MS = 100;
     private static final int CONNECT_TIMEOUT_MS = 1_000;
-    private static final int LONGEST_LINE = 4 << 20;
+    private static final int LARGEST_OBJECT = 4 << 20;
 
     /** An entry, or null where it can't be understood. */
     private static Target target(JsonNode node) {
@@ -81,6 +91,7 @@
     }
 
     private final EventLoop loop;
+    private final boolean pushed;
     private final BiConsumer<ListKind, List<Target>> listener;
     private final Set<Call> calls = new HashSet<>();
     private InetSocketAddress address;
@@ -89,15 +100,28 @@
     private boolean wanted;
     private Call watch;
 
-    /** Tells {@code listener} of each answer and each failure, on the loop. */
-    public Discovery(EventLoop loop, InetSocketAddress address, long rev,
+    /**
+     * Tells {@code listener} of each answer and each failure, on the loop.
+     *
+     * @param pushed whether lists are pushed to an agent at this address: see {@link #follow}
+     * @param rev version of the list that is known
+     */
+    public Discovery(EventLoop loop, InetSocketAddress address, boolean pushed, long rev,
             BiConsumer<ListKind, List<Target>> listener) {
         this.loop = loop;
+        this.pushed = pushed;
         this.address = address;
         this.rev = rev;
         this.listener = listener;
     }
 
+    /** Where lists are pushed, follows them from now on; else does nothing, since the module asks. */
+    public void follow() {
+        if (pushed) {
+            watch(true);
+        }
+    }
+
     /** Follows changes from the last one known; a watch that is asked for again replaces the old one. */
     @Override
     public void watch(boolean on) {
@@ -140,9 +164,22 @@
         new Call(false).open();
     }
 
+    private void againIfPushed() {
+        if (pushed && wanted) {
+            loop.schedule(() -> {
+                if (wanted && watch == null) {
+                    watch(true);
+                }
+            }, AGENT_AGAIN_MS, TimeUnit.MILLISECONDS);
+        }
+    }
+
     private final class Call extends SimpleChannelInboundHandler<HttpObject> {
         private final boolean watching;
-        private final ByteArrayOutputStream line = new ByteArrayOutputStream();
+        private final ObjectCutter cutter = new ObjectCutter();
+        /** The version that was known when this call began. */
+        private final long from = rev;
+        private long objectSince;
         private Channel channel;
         private Future<?> silence;
         private boolean answered;
@@ -184,10 +221,14 @@
         }
 
         private void heard() {
+            if (cutter.size() > 0 && System.nanoTime() - objectSince > LONGEST_OBJECT) {
+                return;
+            }
             if (silence != null) {
                 silence.cancel(false);
             }
-            silence = loop.schedule(this::fail, SILENCE_MS, TimeUnit.MILLISECONDS);
+            silence = loop.schedule(this::fail, pushed && !answered ? AGENT_SILENCE_MS : SILENCE_MS,
+                    TimeUnit.MILLISECONDS);
         }
 
         void close() {
@@ -204,6 +245,7 @@
                 close();
                 if (watch == this) {
                     watch = null;
+                    againIfPushed();
                 }
                 listener.accept(ListKind.FAILED, List.of());
             }
@@ -223,9 +265,6 @@
             if (message instanceof HttpContent content) {
                 take(content.content());
                 if (!over && message instanceof LastHttpContent) {
-                    if (!watching && line.size() > 0) {
-                        take();
-                    }
                     if (watching || !answered) {
                         fail();
                     } else {
@@ -237,32 +276,55 @@
 
         private void take(ByteBuf bytes) throws IOException {
             while (bytes.isReadable() && !over) {
-                byte next = bytes.readByte();
-                if (next != '\n') {
-                    line.write(next);
-                    if (line.size() > LONGEST_LINE) {
-                        fail();
+                if (cutter.size() == 0) {
+                    objectSince = System.nanoTime();
+                }
+                switch (cutter.take(bytes.readByte())) {
+                    case OBJECT -> take();
+                    case EMPTY_LINE -> {
+                        if (watching && !answered) {
+                            // Nothing has changed since the version known: that, too, is its answer.
+                            answered = true;
+                            heard();
+                            listener.accept(ListKind.DELTA, List.of());
+                        }
+                    }
+                    case NONSENSE -> fail();
+                    default -> {
+                        if (cutter.size() > LARGEST_OBJECT) {
+                            fail();
+                        }
                     }
-                } else if (!line.toString(StandardCharsets.UTF_8).isBlank()) {
-                    take();
-                } else if (watching && !answered) {
-                    // Nothing has changed since the version known: that, too, is the watch's answer.
-                    answered = true;
-                    listener.accept(ListKind.DELTA, List.of());
                 }
             }
         }
 
+        /**
+         * Danger: a whole list and the watch come by two connections, and the older one of two answers may
+         * come last: taken over, it would make ready again who drains by now. Versions that begin anew (the
+         * service does, or another one was asked) are lower, too, but nothing newer has come meanwhile.
+         */
+        private boolean outrun(Listing listing) {
+            return listing.rev() < rev && (watching ? answered && !listing.all() : rev != from);
+        }
+
         private void take() throws IOException {
-            JsonNode node = Json.MAPPER.readTree(line.toByteArray());
-            line.reset();
+            JsonNode node = Json.MAPPER.readTree(cutter.object());
             if (!node.path("rev").isIntegralNumber() || !node.path("targets").isArray()) {
                 fail();
                 return;
             }
             Listing listing = Listing.of(node);
-            rev = listing.rev();
+            boolean late = outrun(listing);
             answered = true;
+            heard();
+            if (late) {
+                if (!watching) {
+                    fetch();
+                }
+                return;
+            }
+            rev = listing.rev();
             if (moved) {
                 moved = false;
                 if (!listing.all()) {
--- a/src/main/java/pondridge/sidecar/Main.java
+++ b/src/main/java/pondridge/sidecar/Main.java
@@ -120,9 +120,11 @@
             Sharing.begin(loop, engine, settings.store(), config.options().settings().limits(),
                     config.seed() + 1);
         }
-        Discovery discovery = new Discovery(loop, config.discovery(), config.known().rev(), engine::listed);
+        Discovery discovery = new Discovery(loop, config.discovery(), config.pushed(),
+                config.known().rev(), engine::listed);
         Frontend frontend = new Frontend(engine, config.options(), config.mostClients());
         engine.start(discovery, config.known().targets());
+        discovery.follow();
         SecondFront second = settings == null || settings.grpc() == null ? SecondFront.NONE
                 : new SecondFront.Grpc(loop, settings.grpc(), config, engine);
         // Only where discovery is; all else stays as it was at the start.
--- a/src/test/java/pondridge/sidecar/Bed.java
+++ b/src/test/java/pondridge/sidecar/Bed.java
@@ -48,7 +48,8 @@
         engine = new Engine(loop, config.options(), config.seed(), MOST,
                 new Upstreams(loop, config.options(), config.mostUpstream()));
         before.accept(engine);
-        discovery = new Discovery(loop, config.discovery(), config.known().rev(), engine::listed);
+        discovery = new Discovery(loop, config.discovery(), config.pushed(),
+                config.known().rev(), engine::listed);
         frontend = new Frontend(engine, config.options(), MOST);
         loop.submit(() -> engine.start(discovery, config.known().targets())).sync();
         address = (InetSocketAddress) frontend.listen(group, config.listen()).sync().channel().localAddress();
--- a/src/test/java/pondridge/sidecar/DiscoveryTest.java
+++ b/src/test/java/pondridge/sidecar/DiscoveryTest.java
@@ -6,10 +6,13 @@
 import io.netty.channel.EventLoop;
 import io.netty.channel.MultiThreadIoEventLoopGroup;
 import io.netty.channel.nio.NioIoHandler;
+import java.util.ArrayList;
 import java.util.List;
 import java.util.concurrent.BlockingQueue;
+import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.LinkedBlockingQueue;
 import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicInteger;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.Test;
 import pondridge.Balancer.ListKind;
@@ -45,7 +48,12 @@
     }
 
     private Discovery discovery(Stub stub) {
-        return new Discovery(loop, stub.address(), 41, (kind, targets) -> told.add(new Told(kind, targets)));
+        return discovery(stub, false);
+    }
+
+    private Discovery discovery(Stub stub, boolean pushed) {
+        return new Discovery(loop, stub.address(), pushed, 41,
+                (kind, targets) -> told.add(new Told(kind, targets)));
     }
 
     /** Lines come split over chunks and chunks hold several; an odd entry spoils none but itself. */
@@ -153,4 +161,110 @@
             assertEquals(ListKind.FULL, Stub.next(told).kind);
         }
     }
+
+    /** Lists may come indented, on a watch too, and the last without its end of line. */
+    @Test
+    void indentedListsAreRead() throws Exception {
+        String quoted = entry("DRAINING").replace("s-1", "s}\\\"{1");
+        String change = ("{\n \"rev\": 43,\n \"all\": false,\n \"targets\": [\n  " + quoted + "\n ]\n}");
+        try (Stub stub = new Stub((socket, head) -> {
+            Stub.write(socket, CHUNKED + chunk(change.substring(0, 30)) + chunk(change.substring(30)));
+            return true;
+        })) {
+            Discovery discovery = discovery(stub);
+            loop.execute(() -> discovery.watch(true));
+            Told delta = Stub.next(told);
+            assertEquals(ListKind.DELTA, delta.kind);
+            assertEquals(List.of("s}\"{1"), delta.targets.stream().map(Target::uid).toList());
+            loop.execute(discovery::fetch);
+            assertEquals(ListKind.DELTA, Stub.next(told).kind);
+        }
+    }
+
+    /** The whole list and the watch cross: an older one that comes last must not undo what is known. */
+    @Test
+    void anOlderListThatComesLastChangesNothing() throws Exception {
+        CountDownLatch watched = new CountDownLatch(1);
+        AtomicInteger fetches = new AtomicInteger();
+        String ready = "{\"rev\":42,\"all\":true,\"targets\":[" + entry("SERVING") + "]}";
+        String drains = "{\"rev\":43,\"all\":true,\"targets\":[" + entry("DRAINING") + "]}";
+        try (Stub stub = new Stub((socket, head) -> {
+            if (head.contains("watch=1")) {
+                Stub.write(socket, CHUNKED + chunk(drains + "\n"));
+                return true;
+            }
+            try {
+                return watched.await(Stub.LIMIT_S, TimeUnit.SECONDS)
+                        && Stub.reply(socket, "200 OK", "", fetches.getAndIncrement() == 0 ? ready : drains);
+            } catch (InterruptedException e) {
+                return false;
+            }
+        })) {
+            Discovery discovery = discovery(stub);
+            loop.execute(discovery::fetch);
+            Stub.next(stub.heads);
+            loop.execute(() -> discovery.watch(true));
+            assertEquals(State.DRAINING, Stub.next(told).targets.get(0).state());
+            watched.countDown();
+            assertEquals(State.DRAINING, Stub.next(told).targets.get(0).state(), "it is asked again");
+            assertEquals(2, fetches.get());
+        }
+    }
+
+    /** A service whose versions begin anew is not taken for one that lags behind. */
+    @Test
+    void versionsMayBeginAnew() throws Exception {
+        String whole = "{\"rev\":3,\"all\":true,\"targets\":[" + entry("SERVING") + "]}";
+        try (Stub stub = new Stub((socket, head) -> Stub.reply(socket, "200 OK", "", whole))) {
+            Discovery discovery = discovery(stub);
+            loop.execute(discovery::fetch);
+            assertEquals(ListKind.FULL, Stub.next(told).kind);
+        }
+    }
+
+    /**
+     * Where lists are pushed nobody orders the watch, and it comes back by itself: refused, ended and silent
+     * from its first byte.
+     */
+    @Test
+    void pushedListsAreFollowedUnasked() throws Exception {
+        AtomicInteger calls = new AtomicInteger();
+        String change = "{\"rev\":44,\"all\":false,\"targets\":[" + entry("DRAINING") + "]}\n";
+        try (Stub stub = new Stub((socket, head) -> {
+            int call = calls.getAndIncrement();
+            if (call == 1) {
+                return true;
+            }
+            Stub.write(socket, call == 0 ? "HTTP/1.1 503 No\r\nContent-Length: 0\r\n\r\n"
+                    : CHUNKED + chunk(change));
+            return call != 2;
+        })) {
+            Discovery discovery = discovery(stub, true);
+            loop.execute(discovery::follow);
+            List<ListKind> kinds = new ArrayList<>();
+            for (int i = 0; i < 5; i++) {
+                kinds.add(Stub.next(told).kind);
+            }
+            assertEquals(List.of(ListKind.FAILED, ListKind.FAILED, ListKind.DELTA, ListKind.FAILED,
+                    ListKind.DELTA), kinds);
+            assertTrue(stub.heads.stream().allMatch(head -> head.contains("watch=1")));
+        }
+    }
+
+    /** A watch that falls silent is given up with time left to ask twice before that counts as told. */
+    @Test
+    void silenceIsNoticedInHalfTheTimeAtWhichItCountsAsTold() throws Exception {
+        try (Stub stub = new Stub((socket, head) -> {
+            Stub.write(socket, CHUNKED + chunk("{\"rev\":43,\"all\":true,\"targets\":[]}\n"));
+            return true;
+        })) {
+            Discovery discovery = discovery(stub);
+            loop.execute(() -> discovery.watch(true));
+            assertEquals(ListKind.FULL, Stub.next(told).kind);
+            // Both are timers of one loop, so their order does not hang on the machine's speed.
+            loop.execute(() -> loop.schedule(() -> told.add(new Told(ListKind.CACHED, List.of())), 4,
+                    TimeUnit.SECONDS));
+            assertEquals(ListKind.FAILED, Stub.next(told).kind, "before 4 s of the 6 s are over");
+        }
+    }
 }
