Take no connection that is too old, has begun to answer, or may have a second answer coming

Ruled out: what comes on an idle connection, or right behind an answer, closes it (`spoilt`, `soiled`); an answer before the request's last byte is not served.

Change: age is looked at when taking; a decoder that has begun holds; once anything unasked has come, a connection carries nothing new for 25 ms after an answer, for a minute. Where no more connections may be made the one that has settled longest is taken. Elsewhere nothing changes: connections are reused as before.

--- a/src/main/java/pondridge/http1/Upstreams.java
+++ b/src/main/java/pondridge/http1/Upstreams.java
@@ -37,6 +37,7 @@
 import java.nio.charset.StandardCharsets;
 import java.util.ArrayDeque;
 import java.util.HashMap;
+import java.util.Iterator;
 import java.util.LinkedHashSet;
 import java.util.List;
 import java.util.Map;
@@ -61,6 +62,13 @@
     /** Some answers come behind interim ones; more than a few are no way to an answer. */
     private static final int MOST_INTERIM = 16;
     private static final long PROBE_TIMEOUT = 250_000_000;
+    /**
+     * A second answer may come some milliseconds behind the first. Where such things have been seen lately, a
+     * connection carries nothing new for so long after an answer: what is on its way would pass for the next
+     * one. Elsewhere that would only cost connections.
+     */
+    private static final long SETTLING = 25_000_000;
+    private static final long WARY = 60_000_000_000L;
 
     private final EventLoop loop;
     private final int connectTimeoutMs;
@@ -72,6 +80,8 @@
     private final Pool nobody = new Pool();
     private final Future<?> retirement;
     private int connections;
+    /** When something came that was not asked for; 0 if nothing has. */
+    private long strayAt;
 
     /** Holds at most {@code mostConnections} connections in all; time-outs come from the settings. */
     public Upstreams(EventLoop loop, Options options, int mostConnections) {
@@ -135,7 +145,10 @@
         Sending attempt = new Sending(pool, request, listener);
         attempt.timer = loop.schedule(attempt::late, wait, TimeUnit.NANOSECONDS);
         pool.unwritten.add(attempt);
-        Connection idle = pool.ready ? pool.take() : null;
+        Connection idle = pool.ready ? pool.take(System.nanoTime()) : null;
+        if (pool.ready && idle == null && connections >= mostConnections) {
+            idle = pool.takeUnsettled();
+        }
         if (!pool.ready) {
             attempt.end(Outcome.CONNECT_FAILED);
         } else if (idle != null) {
@@ -195,21 +208,45 @@
     }
 
     /** One upstream's connections; the least lately used idle one comes first. */
-    private static final class Pool {
+    private final class Pool {
         private final ArrayDeque<Connection> idle = new ArrayDeque<>();
         private final Set<Sending> unwritten = new LinkedHashSet<>();
         private InetSocketAddress address;
         private long startedMs;
         private boolean ready;
 
-        /** The lately used one, unless more has come there than was asked for. */
-        Connection take() {
-            Connection last = idle.pollLast();
-            while (last != null && last.decoder.holds()) {
-                last.close();
-                last = idle.pollLast();
+        /**
+         * The one used last that has settled. Not one that is beyond its time: where the loop stood still the
+         * upstream closes it before the sweep does, and what is written to it counts as perhaps run.
+         */
+        Connection take(long now) {
+            long settling = strayAt != 0 && now - strayAt < WARY ? SETTLING : 0;
+            for (Iterator<Connection> each = idle.descendingIterator(); each.hasNext();) {
+                Connection next = each.next();
+                if (now - next.idleSince >= keepIdle) {
+                    return null;
+                }
+                if (now - next.idleSince < settling) {
+                    continue;
+                }
+                each.remove();
+                if (!next.decoder.holds()) {
+                    return next;
+                }
+                // More has come there than was asked for.
+                next.close();
+            }
+            return null;
+        }
+
+        /** Where no more connections may be made: the one that has settled longest, or null. */
+        Connection takeUnsettled() {
+            Connection first = idle.pollFirst();
+            while (first != null && first.decoder.holds()) {
+                first.close();
+                first = idle.pollFirst();
             }
-            return last;
+            return first;
         }
 
         /** Nothing not yet written goes there any more. */
@@ -298,9 +335,9 @@
             super(new HttpDecoderConfig().setValidateHeaders(false));
         }
 
-        /** Whether something has come that is no whole part of an answer yet. */
+        /** Whether something has come that is no whole answer yet: also lines that have been read already. */
         boolean holds() {
-            return actualReadableBytes() > 0;
+            return begun || actualReadableBytes() > 0;
         }
 
         @Override
@@ -476,6 +513,7 @@
                     () -> came.toString(StandardCharsets.UTF_8));
             Answer answer = outcome == Outcome.OK ? new Answer(headers, body.toByteArray())
                     : null;
+            strayAt = decoder.holds() ? System.nanoTime() : strayAt;
             boolean reusable = HttpUtil.isKeepAlive(response) && attempt.written && pool.ready && !soiled
                     && !decoder.holds() && channel.isActive();
             current = null;
@@ -494,6 +532,9 @@
 
         /** Something came that is no answer or not asked for. What is whole already stays good. */
         private void spoilt() {
+            if (whole || current == null || current.over) {
+                strayAt = System.nanoTime();
+            }
             if (whole) {
                 soiled = true;
             } else if (current != null) {
--- a/src/test/java/pondridge/http1/UpstreamsTest.java
+++ b/src/test/java/pondridge/http1/UpstreamsTest.java
@@ -12,10 +12,15 @@
 import java.net.Socket;
 import java.nio.charset.StandardCharsets;
 import java.util.List;
+import java.util.Set;
 import java.util.concurrent.BlockingQueue;
+import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.LinkedBlockingQueue;
 import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicReference;
+import java.util.concurrent.locks.LockSupport;
+import java.util.function.Consumer;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.Test;
 import pondridge.Balancer.Outcome;
@@ -223,6 +228,58 @@
         }
     }
 
+    /** Where the loop stood still the sweep comes too late: what is beyond its time is not taken even so. */
+    @Test
+    void aConnectionBeyondItsTimeIsNotTaken() throws Exception {
+        Set<Socket> sockets = ConcurrentHashMap.newKeySet();
+        try (Stub upstream = new Stub((socket, head) ->
+                sockets.add(socket) | Stub.reply(socket, "200 OK", "", "x"))) {
+            Options options = new Options("caps.connIdle=1000000000");
+            Upstreams upstreams = loop.submit(() -> new Upstreams(loop, options, 10)).get();
+            loop.execute(() -> upstreams.listed(1, upstream.address(), 0, true));
+            send(upstreams);
+            assertEquals(Outcome.OK, Stub.next(outcomes));
+            loop.execute(() -> {
+                // In one turn of the loop: no sweep can come between.
+                LockSupport.parkNanos(1_200_000_000);
+                upstreams.send(1, get("/api/x"), LONG, this::ended);
+            });
+            assertEquals(Outcome.OK, Stub.next(outcomes));
+            assertEquals(2, sockets.size());
+        }
+    }
+
+    /**
+     * A second answer that is on its way while the next request is written would pass for that one's. Once
+     * such things have been seen, a connection that has just answered carries nothing new for a while.
+     */
+    @Test
+    void aSecondAnswerThatCrossesTheNextRequestIsNotItsAnswer() throws Exception {
+        AtomicReference<Socket> second = new AtomicReference<>();
+        try (Stub upstream = new Stub((socket, head) -> {
+            if (head.startsWith("GET /first")) {
+                return Stub.reply(socket, "200 OK", "", "firstHTTP/1.1 200 OK\r\n", 5);
+            } else if (head.startsWith("GET /second")) {
+                second.set(socket);
+                return Stub.reply(socket, "200 OK", "", "second");
+            }
+            Stub.reply(second.get(), "200 OK", "", "second");
+            return Stub.reply(socket, "200 OK", "", "third");
+        })) {
+            Upstreams upstreams = upstreams(upstream.address(), LONG, 10);
+            send(upstreams, "/first", body -> send(upstreams, "/second", next ->
+                    send(upstreams, "/third", body3 -> bodies.add(body + next + body3))));
+            assertEquals("firstsecondthird", Stub.next(bodies));
+        }
+    }
+
+    private final BlockingQueue<String> bodies = new LinkedBlockingQueue<>();
+
+    private void send(Upstreams upstreams, String uri, Consumer<String> then) {
+        loop.execute(() -> upstreams.send(1, get(uri), LONG, (outcome, answer, load) ->
+                then.accept(answer == null ? outcome.toString() : text(answer))));
+    }
+
     /** A spoilt answer may stand on a connection that stays open: it has failed now, not when time is up. */
     @Test
     void spoiltAnswersFailAtOnceAndEndTheirConnection() throws Exception {
