See a client's leave behind what waits, and let the end lose nothing that is on its way

The client's connection, found by reading: - `Frontend.channelRead0` switched reading off once something waited behind an open request, so the client's FIN or reset lay unread until the answer; its request went on, was sent again, and what waited behind it was taken up. What is open shortly before is now answered by the module (`Balancer.ending`), refused only where that is harmless, and later requests get no longer than that. - The listener was closed with connections that nobody had accepted yet (a turn accepts 16): it waits for 50 ms in which nobody connects, half a second at most.

Ruled out: requests held in the module and looks by probe end with the hang-up; SIGTERM twice (the JVM runs the hook once); SIGHUP while it ends (another thread reads the file, the loop only gets the move).

--- a/src/main/java/pondridge/Balancer.java
+++ b/src/main/java/pondridge/Balancer.java
@@ -249,6 +249,9 @@
     /** A probe's result. */
     default void probeResult(long now, long upstream, Outcome outcome, long elapsed, float[] load) { }
 
+    /** The host ends soon: what is open at {@code at} gets its answer then, whatever time it has left. */
+    default void ending(long now, long at) { }
+
     /** Who a message is {@code from} that tells what others see of upstreams. */
     int HEARSAY = 0;
     /** Who one is from that lends this sidecar parts of what all may send to cold upstreams. */
--- a/src/main/java/pondridge/Rules.java
+++ b/src/main/java/pondridge/Rules.java
@@ -129,6 +129,17 @@
         }
     }
 
+    /** Danger: what waits on a server that hangs, until after the end, would get no answer at all. */
+    @Override
+    public void ending(long now, long at) {
+        ledger.calls.values().forEach(call -> alarms.set(at, then -> {
+            if (!call.streaming) {
+                ledger.answer(call);
+            }
+        }));
+        alarms.flush();
+    }
+
     @Override
     public void timer(long now, long token) {
         alarms.ring(now, token);
--- a/src/main/java/pondridge/core/Engine.java
+++ b/src/main/java/pondridge/core/Engine.java
@@ -154,6 +154,7 @@
     private Observer observer;
     private boolean telling;
     private boolean retired;
+    private long endsAt = Long.MAX_VALUE;
     private long lastId;
     private long asked;
 
@@ -316,7 +317,7 @@
             return 0;
         }
         long id = ++lastId;
-        long left = Math.max(1, job.waitMs() * 1_000_000 - ANSWER_ROOM);
+        long left = Math.max(1, Math.min(job.waitMs() * 1_000_000 - ANSWER_ROOM, endsAt - now()));
         Call call = new Call(job, client);
         calls.put(id, call);
         // The module answers by its own deadline; this holds for whatever it may have missed.
@@ -345,6 +346,17 @@
         }
     }
 
+    /**
+     * The process ends {@code within} nanoseconds from now: what is open by then, and what still comes, gets
+     * its one answer before.
+     */
+    public void endWithin(long within) {
+        tell(now -> {
+            endsAt = now + within;
+            rules.ending(now, endsAt);
+        });
+    }
+
     /** No more requests will come: what is open still ends, and with it the module's timers. */
     public void retire() {
         retired = true;
--- a/src/main/java/pondridge/http1/Frontend.java
+++ b/src/main/java/pondridge/http1/Frontend.java
@@ -76,6 +76,12 @@
     /** A new connection's request comes at once; one that is silent for longer makes room first. */
     private static final long SILENT_TIME = 100_000_000;
     private static final long SWEEP_MS = 100;
+    /** While draining: a connection just made whose request is on its way gets this long for it. */
+    private static final long NEW_TIME = 300_000_000;
+    /** What is held of requests that came behind an open one; beyond that their client is read no further. */
+    private static final int MOST_WAITING = LARGEST_BODY;
+    /** What a request's head counts as in that, beside its path. */
+    private static final int HEAD_BYTES = 2048;
 
     /** Where a connection is. Those before {@link #ASKED} may make room for others, the first one first. */
     private enum Stage { LINGERING, SILENT, IDLE, NEW, READING, ASKED, ANSWERED }
@@ -90,6 +96,7 @@
     private final ArrayDeque<Past> past = new ArrayDeque<>();
     private boolean ready;
     private boolean draining;
+    private long acceptedAt = System.nanoTime();
     private Channel server;
 
     /** A front that takes at most {@code mostConnections} clients at once. */
@@ -108,6 +115,7 @@
                 .childHandler(new ChannelInitializer<Channel>() {
                     @Override
                     protected void initChannel(Channel made) {
+                        acceptedAt = System.nanoTime();
                         if (connections.size() >= mostConnections && !makeRoom()) {
                             made.close();
                             return;
@@ -130,17 +138,23 @@
 
     /**
      * From now on each answer ends its connection, and so do those that wait for none: a request that crosses
-     * such an end is sent again on a new connection, and new ones still get in.
+     * such an end is sent again on a new connection, and new ones still get in. One just made is left its
+     * time: to end it with no answer would lose the request that is on its way there.
      */
     public void drain() {
         draining = true;
         for (Connection connection : List.copyOf(connections)) {
-            if (connection.stage == Stage.IDLE || connection.stage == Stage.NEW) {
+            if (connection.stage == Stage.IDLE) {
                 connection.channel.close();
             }
         }
     }
 
+    /** For how many nanoseconds nobody has connected. */
+    public long quiet() {
+        return System.nanoTime() - acceptedAt;
+    }
+
     /** Ends the listening as well. */
     public void close() {
         server.close();
@@ -181,8 +195,12 @@
 
     private final class Connection extends SimpleChannelInboundHandler<HttpObject> implements Client {
         private final Channel channel;
-        /** What came while a request was open. Such a client is read no further: it is one read's worth. */
+        /**
+         * What came while a request was open. It is read on, within bounds: else nobody would see that the
+         * client has left, and its requests would be sent on one after the other.
+         */
         private final ArrayDeque<HttpObject> waiting = new ArrayDeque<>(1);
+        private int held;
         private Stage stage = Stage.NEW;
         private long since = System.nanoTime();
         private int lingered;
@@ -238,6 +256,7 @@
             long limit = switch (stage) {
                 case LINGERING -> LINGER_TIME;
                 case IDLE -> IDLE_TIME;
+                case NEW -> draining ? NEW_TIME : REQUEST_TIME;
                 case ANSWERED -> TAKE_TIME;
                 case ASKED -> Long.MAX_VALUE;
                 default -> REQUEST_TIME;
@@ -259,8 +278,11 @@
         @Override
         protected void channelRead0(ChannelHandlerContext context, HttpObject message) {
             if (occupied() || !waiting.isEmpty()) {
-                channel.config().setAutoRead(false);
                 waiting.add(ReferenceCountUtil.retain(message));
+                held += size(message);
+                if (held > MOST_WAITING) {
+                    channel.config().setAutoRead(false);
+                }
             } else {
                 take(message);
             }
@@ -365,7 +387,7 @@
         private void answer(FullHttpResponse response) {
             forget();
             enter(Stage.ANSWERED);
-            boolean keep = keepAlive && !draining;
+            boolean keep = keepAlive && (!draining || !waiting.isEmpty());
             HttpUtil.setContentLength(response, response.content().readableBytes());
             if (!keep) {
                 response.headers().set(HttpHeaderNames.CONNECTION, HttpHeaderValues.CLOSE);
@@ -376,6 +398,11 @@
                 return;
             }
             written.addListener(done -> {
+                if (!done.isSuccess() || draining && waiting.isEmpty()) {
+                    // Gone, and with it whoever sent what waits; or the draining began behind this answer.
+                    channel.close();
+                    return;
+                }
                 enter(Stage.IDLE);
                 // Not from within this call: a row of requests would nest as deep as it is long.
                 channel.eventLoop().execute(this::proceed);
@@ -386,17 +413,24 @@
         private void proceed() {
             while (!waiting.isEmpty() && !occupied()) {
                 HttpObject next = waiting.poll();
+                held -= size(next);
                 try {
                     take(next);
                 } finally {
                     ReferenceCountUtil.release(next);
                 }
             }
-            if (waiting.isEmpty() && !occupied() && lingered <= LINGER_BYTES) {
+            if (held <= MOST_WAITING && lingered <= LINGER_BYTES) {
                 channel.config().setAutoRead(true);
             }
         }
 
+        private void drop() {
+            waiting.forEach(ReferenceCountUtil::release);
+            waiting.clear();
+            held = 0;
+        }
+
         /** The request that was open is no more. */
         private void forget() {
             if (stage == Stage.ASKED) {
@@ -410,8 +444,7 @@
             enter(Stage.LINGERING);
             job = null;
             body = null;
-            waiting.forEach(ReferenceCountUtil::release);
-            waiting.clear();
+            drop();
             channel.config().setAutoRead(true);
             FullHttpResponse response = plain(status, text);
             response.headers().set(HttpHeaderNames.CONNECTION, HttpHeaderValues.CLOSE);
@@ -425,8 +458,7 @@
             long open = request;
             forget();
             enter(Stage.LINGERING);
-            waiting.forEach(ReferenceCountUtil::release);
-            waiting.clear();
+            drop();
             if (open != 0) {
                 engine.hangup(open);
             }
@@ -441,6 +473,11 @@
         }
     }
 
+    private static int size(HttpObject message) {
+        int head = message instanceof HttpRequest request ? HEAD_BYTES + request.uri().length() : 0;
+        return head + (message instanceof HttpContent content ? content.content().readableBytes() : 0);
+    }
+
     private static HttpResponseStatus status(Throwable cause) {
         if (cause instanceof TooLongHttpHeaderException) {
             return HttpResponseStatus.REQUEST_HEADER_FIELDS_TOO_LARGE;
--- a/src/main/java/pondridge/sidecar/Main.java
+++ b/src/main/java/pondridge/sidecar/Main.java
@@ -28,9 +28,15 @@
 public final class Main {
     /** New connections go on coming for up to 0.4 s after SIGTERM. */
     private static final long ACCEPT_MS = 500;
-    /** SIGKILL comes no sooner than the longest deadline and 0.7 s more. */
+    /** SIGKILL comes no sooner than the longest deadline, of which 3 s count at most, and 0.7 s more. */
+    private static final long LONGEST_MS = 3_000;
     private static final long SPARE_MS = 600;
+    /** Of that: for the last answers to be written. */
+    private static final long LAST_WRITES_MS = 150;
     private static final long POLL_MS = 20;
+    /** The listening ends when nobody has connected for so long: what is not yet accepted would be reset. */
+    private static final long QUIET = 50_000_000;
+    private static final int MOST_LOOKS = 10;
     private static final String REHEARSE = "rehearse";
 
     private Main() { }
@@ -154,17 +160,18 @@
         new Thread(() -> System.exit(0)).start();
     }
 
-    /** The hook holds the process until all is answered, or as long as the longest request may take. */
+    /** The hook holds the process until all is answered, or as long as the platform lets it. */
     private static void endAtSigterm(EventLoop loop, Config config, Engine engine, Frontend frontend,
             SecondFront second) {
-        long longest = config.options().settings().classes().stream()
-                .mapToLong(RequestClass::deadline).max().orElse(0) / 1_000_000;
+        long longest = Math.min(LONGEST_MS, config.options().settings().classes().stream()
+                .mapToLong(RequestClass::deadline).max().orElse(0) / 1_000_000);
         Runtime.getRuntime().addShutdownHook(new Thread(() -> {
             CountDownLatch done = new CountDownLatch(1);
             loop.execute(frontend::drain);
             loop.execute(second::drain);
+            loop.execute(() -> engine.endWithin((longest + SPARE_MS - LAST_WRITES_MS) * 1_000_000));
             loop.schedule(second::close, ACCEPT_MS, TimeUnit.MILLISECONDS);
-            loop.schedule(frontend::close, ACCEPT_MS, TimeUnit.MILLISECONDS);
+            loop.schedule(() -> closeWhenQuiet(loop, frontend, MOST_LOOKS), ACCEPT_MS, TimeUnit.MILLISECONDS);
             loop.scheduleWithFixedDelay(() -> {
                 if (frontend.empty() && engine.idle() && second.idle()) {
                     done.countDown();
@@ -178,4 +185,12 @@
             Runtime.getRuntime().halt(0);
         }));
     }
+
+    private static void closeWhenQuiet(EventLoop loop, Frontend frontend, int looks) {
+        if (looks == 0 || frontend.quiet() > QUIET) {
+            frontend.close();
+        } else {
+            loop.schedule(() -> closeWhenQuiet(loop, frontend, looks - 1), QUIET, TimeUnit.NANOSECONDS);
+        }
+    }
 }
--- a/src/test/java/pondridge/sidecar/ClientLeavesTest.java
+++ b/src/test/java/pondridge/sidecar/ClientLeavesTest.java
@@ -2,6 +2,7 @@
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertNotEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import com.fasterxml.jackson.databind.node.ObjectNode;
 import java.util.List;
@@ -77,4 +78,28 @@
             }
         }
     }
+
+    /** What came behind an open request hides the client's leave unless it is read on. */
+    @Test
+    void aLeaveIsSeenBehindWhatWaits() throws Exception {
+        CountDownLatch go = new CountDownLatch(1);
+        try (Stub upstream = new Stub((socket, head) -> {
+            try {
+                return go.await(Stub.LIMIT_S, TimeUnit.SECONDS) && Stub.reply(socket, "200 OK", "", "x");
+            } catch (InterruptedException e) {
+                return false;
+            }
+        }); Bed bed = bed(Bed.json(upstream)); Bed.Client burst = new Bed.Client(bed.address)) {
+            Stub.write(burst.socket, Bed.look("a") + Bed.look("b") + Bed.look("c"));
+            Stub.next(upstream.heads);
+            burst.socket.close();
+            assertEquals(Outcome.CANCELLED, Stub.next(outcomes), "before any answer");
+            go.countDown();
+            // A leave counts as lateness with the module, so it may refuse some first.
+            for (int i = 0; bed.ask(Bed.look("d" + i)).status() != 200; i++) {
+                assertTrue(i < 1000, "never served again");
+            }
+            assertTrue(Stub.header(Stub.next(upstream.heads), "Req-Id").startsWith("d"), "not the burst");
+        }
+    }
 }
--- a/src/test/java/pondridge/sidecar/DeployedIT.java
+++ b/src/test/java/pondridge/sidecar/DeployedIT.java
@@ -122,6 +122,23 @@
         }
     }
 
+    /** Of the longest deadline 3 s count: one of 20 s is answered before SIGKILL may come all the same. */
+    @Test
+    void aLongDeadlineIsCutShortAtSigterm() throws Exception {
+        try (Stub hung = new Stub((socket, head) -> true)) {
+            InetSocketAddress address = freeAddress();
+            start("run", Bed.json(hung).put("listen", "127.0.0.1:" + address.getPort()));
+            awaitUp(address);
+            try (Bed.Client client = new Bed.Client(address)) {
+                Stub.write(client.socket, Bed.look("a"));
+                Stub.next(hung.heads);
+                process.destroy();
+                assertEquals(503, client.read().status());
+            }
+            assertEquals(0, exit());
+        }
+    }
+
     /** With settings that say so it speaks gRPC, too; without them {@code run} has nothing of it. */
     @Test
     void aSecondFrontSpeaksGrpc() throws Exception {
