Keep to the process that is there now, to the time a request has waited, and to any settings

Tried and not taken: attempts that end with their client's leave count as lateness (`Admission.ended`), so after one leave at a quiet sidecar three in four first tries were refused in a test.

Result: three new tests (UpstreamsTest, ConfigTest, ClientLeavesTest).

--- a/src/main/java/pondridge/Options.java
+++ b/src/main/java/pondridge/Options.java
@@ -22,6 +22,8 @@
  * no sense is an {@link IllegalArgumentException} naming the key.
  */
 public final class Options {
+    /** In nanoseconds; where the settings bind nobody to ask. */
+    private static final double ASK_WITHIN = 10e9;
     private final Map<String, String> values = new HashMap<>();
 
     /** Reads one path=value a line. */
@@ -84,7 +86,10 @@
     }
 
     private Limits limits() {
-        return new Limits((long) required("rules.answerSlack"), (long) number("rules.askWithin", 0),
+        // Danger: with no time between two calls the module would ask again and again in one event.
+        double askWithin = number("rules.askWithin", 0);
+        return new Limits((long) required("rules.answerSlack"),
+                (long) (askWithin > 0 ? askWithin : ASK_WITHIN),
                 (long) required("rules.stopSendingWithin"), required("rules.coldShare"),
                 (long) required("rules.rampTime"), required("rules.overloadFactor"),
                 (long) required("rules.tipAfter"));
--- a/src/main/java/pondridge/http1/Frontend.java
+++ b/src/main/java/pondridge/http1/Frontend.java
@@ -88,6 +88,8 @@
 
     private record Past(String id, long at) { }
 
+    private record Waiting(HttpObject message, long since) { }
+
     private final Requests engine;
     private final JobReader reader;
     private final int mostConnections;
@@ -199,8 +201,10 @@
          * What came while a request was open. It is read on, within bounds: else nobody would see that the
          * client has left, and its requests would be sent on one after the other.
          */
-        private final ArrayDeque<HttpObject> waiting = new ArrayDeque<>(1);
+        private final ArrayDeque<Waiting> waiting = new ArrayDeque<>(1);
         private int held;
+        /** How long ago what is being taken has come. */
+        private long waited;
         private Stage stage = Stage.NEW;
         private long since = System.nanoTime();
         private int lingered;
@@ -278,7 +282,7 @@
         @Override
         protected void channelRead0(ChannelHandlerContext context, HttpObject message) {
             if (occupied() || !waiting.isEmpty()) {
-                waiting.add(ReferenceCountUtil.retain(message));
+                waiting.add(new Waiting(ReferenceCountUtil.retain(message), System.nanoTime()));
                 held += size(message);
                 if (held > MOST_WAITING) {
                     channel.config().setAutoRead(false);
@@ -351,6 +355,9 @@
                 return;
             }
             Job whole = job.with(body.toByteArray());
+            if (waited > 0) {
+                whole = whole.within(whole.waitMs() * 1_000_000 - waited);
+            }
             job = null;
             body = null;
             enter(Stage.ASKED);
@@ -412,12 +419,14 @@
         /** Goes on with what came meanwhile. */
         private void proceed() {
             while (!waiting.isEmpty() && !occupied()) {
-                HttpObject next = waiting.poll();
-                held -= size(next);
+                Waiting next = waiting.poll();
+                held -= size(next.message);
+                waited = System.nanoTime() - next.since;
                 try {
-                    take(next);
+                    take(next.message);
                 } finally {
-                    ReferenceCountUtil.release(next);
+                    ReferenceCountUtil.release(next.message);
+                    waited = 0;
                 }
             }
             if (held <= MOST_WAITING && lingered <= LINGER_BYTES) {
@@ -426,7 +435,7 @@
         }
 
         private void drop() {
-            waiting.forEach(ReferenceCountUtil::release);
+            waiting.forEach(each -> ReferenceCountUtil.release(each.message));
             waiting.clear();
             held = 0;
         }
--- a/src/main/java/pondridge/http1/Upstreams.java
+++ b/src/main/java/pondridge/http1/Upstreams.java
@@ -62,6 +62,8 @@
     /** Some answers come behind interim ones; more than a few are no way to an answer. */
     private static final int MOST_INTERIM = 16;
     private static final long PROBE_TIMEOUT = 250_000_000;
+    /** However soon upstreams close: the loop must have time for anything else. */
+    private static final long SHORTEST_SWEEP = 5_000_000;
     /**
      * A second answer may come some milliseconds behind the first. Where such things have been seen lately, a
      * connection carries nothing new for so long after an answer: what is on its way would pass for the next
@@ -91,15 +93,16 @@
         this.keepIdle = (long) (options.number("caps.connIdle", 5e9) * 0.9);
         this.mostConnections = mostConnections;
         this.reports = new LoadReports(options);
-        long sweep = Math.max(1, keepIdle / 20);
+        long sweep = Math.max(SHORTEST_SWEEP, keepIdle / 20);
         retirement = loop.scheduleWithFixedDelay(this::retire, sweep, sweep, TimeUnit.NANOSECONDS);
     }
 
     /**
      * Takes over what the list says of an upstream. Once it is no longer ready, nothing not yet written goes
-     * there: who waits for a connection is told that none came, idle connections are closed. So are those to
-     * a process that has started anew since: a machine that vanished has not ended them, and what is written
-     * to them would count as perhaps run.
+     * there: who waits for a connection is told that none came, idle connections are closed. The same holds
+     * for connections to a process that has started anew since, or to another address, also once they come
+     * up or have answered: a machine that vanished has not ended them, and what is written to them would
+     * count as perhaps run.
      */
     @Override
     public void listed(long upstream, InetSocketAddress address, long startedMs, boolean ready) {
@@ -107,7 +110,7 @@
         if (!address.equals(pool.address) || startedMs > pool.startedMs) {
             pool.address = address;
             pool.startedMs = startedMs;
-            pool.closeIdle();
+            pool.renew();
         }
         if (ready) {
             pool.ready = true;
@@ -214,6 +217,8 @@
         private InetSocketAddress address;
         private long startedMs;
         private boolean ready;
+        /** How often another process has taken the place of the one before. */
+        private int renewals;
 
         /**
          * The one used last that has settled. Not one that is beyond its time: where the loop stood still the
@@ -252,6 +257,12 @@
         /** Nothing not yet written goes there any more. */
         void shut() {
             ready = false;
+            renew();
+        }
+
+        /** Nothing more goes to who was there until now. */
+        void renew() {
+            renewals++;
             closeIdle();
             for (Sending attempt : List.copyOf(unwritten)) {
                 attempt.end(Outcome.CONNECT_FAILED);
@@ -382,6 +393,7 @@
     private final class Connection extends SimpleChannelInboundHandler<HttpObject> {
         private final Pool pool;
         private final Decoder decoder = new Decoder();
+        private final int renewals;
         private Channel channel;
         private Sending current;
         private long idleSince;
@@ -394,6 +406,7 @@
 
         Connection(Pool pool) {
             this.pool = pool;
+            this.renewals = pool.renewals;
         }
 
         void open(Sending first) {
@@ -514,8 +527,8 @@
             Answer answer = outcome == Outcome.OK ? new Answer(headers, body.toByteArray())
                     : null;
             strayAt = decoder.holds() ? System.nanoTime() : strayAt;
-            boolean reusable = HttpUtil.isKeepAlive(response) && attempt.written && pool.ready && !soiled
-                    && !decoder.holds() && channel.isActive();
+            boolean reusable = HttpUtil.isKeepAlive(response) && attempt.written
+                    && renewals == pool.renewals && !soiled && !decoder.holds() && channel.isActive();
             current = null;
             head = null;
             headers = null;
--- a/src/test/java/pondridge/http1/UpstreamsTest.java
+++ b/src/test/java/pondridge/http1/UpstreamsTest.java
@@ -273,6 +273,49 @@
         }
     }
 
+    /**
+     * A process that has taken the place of another while that one's answer was on its way: the connection is
+     * to the one before, and what is written to it would count as perhaps run.
+     */
+    @Test
+    void aConnectionThatAnswersAfterARestartIsNotUsedAgain() throws Exception {
+        CountDownLatch go = new CountDownLatch(1);
+        Set<Socket> sockets = ConcurrentHashMap.newKeySet();
+        try (Stub upstream = new Stub((socket, head) -> {
+            sockets.add(socket);
+            try {
+                return go.await(Stub.LIMIT_S, TimeUnit.SECONDS) && Stub.reply(socket, "200 OK", "", "x");
+            } catch (InterruptedException e) {
+                return false;
+            }
+        })) {
+            Upstreams upstreams = upstreams(upstream.address(), LONG, 10);
+            send(upstreams);
+            Stub.next(upstream.heads);
+            loop.submit(() -> upstreams.listed(1, upstream.address(), 1_700_000_000_000L, true)).sync();
+            go.countDown();
+            assertEquals(Outcome.OK, Stub.next(outcomes));
+            send(upstreams);
+            assertEquals(Outcome.OK, Stub.next(outcomes));
+            assertEquals(2, sockets.size(), "a new connection, to who is there now");
+        }
+    }
+
+    /** Settings may say that idle connections are closed at once: then none is kept, and the loop goes on. */
+    @Test
+    void noIdleTimeKeepsNothing() throws Exception {
+        try (Stub upstream = Stub.serving("x")) {
+            Options options = new Options("caps.connIdle=0");
+            Upstreams upstreams = loop.submit(() -> new Upstreams(loop, options, 10)).get();
+            loop.execute(() -> upstreams.listed(1, upstream.address(), 0, true));
+            for (int i = 0; i < 2; i++) {
+                send(upstreams);
+                assertEquals(Outcome.OK, Stub.next(outcomes));
+                Stub.next(upstream.ended);
+            }
+        }
+    }
+
     private final BlockingQueue<String> bodies = new LinkedBlockingQueue<>();
 
     private void send(Upstreams upstreams, String uri, Consumer<String> then) {
--- a/src/test/java/pondridge/sidecar/ClientLeavesTest.java
+++ b/src/test/java/pondridge/sidecar/ClientLeavesTest.java
@@ -102,4 +102,26 @@
             assertTrue(Stub.header(Stub.next(upstream.heads), "Req-Id").startsWith("d"), "not the burst");
         }
     }
+
+    /** What waits behind an open request waits in its client's eyes, too: its time does not begin anew. */
+    @Test
+    void timeSpentBehindAnotherRequestIsTakenOff() throws Exception {
+        CountDownLatch go = new CountDownLatch(1);
+        try (Stub upstream = new Stub((socket, head) -> {
+            try {
+                return go.await(Stub.LIMIT_S, TimeUnit.SECONDS) && Stub.reply(socket, "200 OK", "", "x");
+            } catch (InterruptedException e) {
+                return false;
+            }
+        }); Bed bed = bed(Bed.json(upstream)); Bed.Client client = new Bed.Client(bed.address)) {
+            Stub.write(client.socket, Bed.look("a") + Bed.look("b"));
+            Stub.next(upstream.heads);
+            Thread.sleep(300);
+            go.countDown();
+            assertEquals(200, client.read().status());
+            assertEquals(200, client.read().status());
+            String left = Stub.header(Stub.next(upstream.heads), "Req-Deadline-Ms");
+            assertTrue(Integer.parseInt(left) <= Bed.LONG_MS - 300, left + " of " + Bed.LONG_MS);
+        }
+    }
 }
--- a/src/test/java/pondridge/sidecar/ConfigTest.java
+++ b/src/test/java/pondridge/sidecar/ConfigTest.java
@@ -47,6 +47,21 @@
         assertNames("limits.sockets", json);
     }
 
+    /** With no time between two calls the module would ask again and again within one event. */
+    @Test
+    void whereNobodyIsBoundToAskThereIsStillTimeBetweenCalls() throws Exception {
+        for (String discovery : List.of("subscribe", "automatic")) {
+            ObjectNode json = Bed.json();
+            json.withObject("/settings").put("discovery", discovery);
+            json.withObject("/settings/rules").remove("askWithin");
+            assertTrue(Config.of(json).options().settings().limits().askWithin() >= 1_000_000_000);
+            json.withObject("/settings/rules").put("askWithin", 0);
+            Config config = Config.of(json);
+            assertTrue(config.options().settings().limits().askWithin() >= 1_000_000_000);
+            assertEquals(discovery.equals("automatic"), config.pushed());
+        }
+    }
+
     private static void assertNames(String key, ObjectNode json) {
         String message = assertThrows(IllegalArgumentException.class, () -> Config.of(json)).getMessage();
         assertTrue(message.contains(key) && message.lines().count() == 1, message);
