Take nothing that was never sent for a late answer

Cause: such an attempt was told as CONNECT_FAILED before, wrongly, and is NEVER_SENT now, which `Ledger.outcome` handed to `Admission.ended`: tried, and not in time, so the sidecar shed what came next, and the server's limit was cut for the time the client had waited.

Change: `Admission.ended` sees neither failed connects, as before, nor what was never sent.

--- a/src/main/java/pondridge/Rules.java
+++ b/src/main/java/pondridge/Rules.java
@@ -426,7 +426,9 @@
             Server server = attempt.server;
             server.inFlight--;
             health.ended(now, attempt, outcome, call);
-            if (outcome != Outcome.CONNECT_FAILED) {
+            // Danger: what was never sent says nothing of the servers. Clients that leave while a connection
+            // comes up would count as late answers, and a burst of them have those that come next refused.
+            if (outcome != Outcome.CONNECT_FAILED && outcome != Outcome.NEVER_SENT) {
                 admission.ended(now, attempt, outcome, call);
             }
             if (outcome == Outcome.OK) {
