Hold by a test that what was never sent sheds nothing

Change: RulesTest.whatWasNeverSentShedsNothing: twenty clients leave while their attempts wait for a connection, then twenty first tries come.

--- a/src/test/java/pondridge/RulesTest.java
+++ b/src/test/java/pondridge/RulesTest.java
@@ -513,6 +513,24 @@
         assertEquals(0, after[0] + after[1]);
     }
 
+    /** Clients that leave while a connection comes up say nothing of the servers: others are not refused. */
+    @Test
+    void whatWasNeverSentShedsNothing() {
+        Recorder host = new Recorder(settings(REPEATABLE), 7).withUpstreams(40);
+        for (int i = 0; i < 20; i++) {
+            host.request(i, 0);
+            Recorder.Sent sent = host.last();
+            host.rules.hangup(host.now, i);
+            host.rules.outcome(host.now, i, sent.attempt(), sent.upstream(), Outcome.NEVER_SENT, 10 * MS,
+                    true, new float[0]);
+        }
+        host.answers.clear();
+        for (int i = 100; i < 120; i++) {
+            host.request(i, 0);
+        }
+        assertEquals(List.of(), host.answers);
+    }
+
     @Test
     void markedRetriesAreShedMoreReadilyThanFirstTries() {
         int[] sent = new int[2];
