Tell an upstream the time that is left when the request is written

Ruled out: HTTP/2 and gRPC, which take the time left when they write.

Change: the header is set right before the request is written.

Result: UpstreamsTest.theTimeToldIsWhatIsLeftAtTheWriting, red before ("told 60000 ms" on a connection that came up 300 ms late at least), green now; all 18 of UpstreamsTest green.

--- a/src/main/java/pondridge/http1/Upstreams.java
+++ b/src/main/java/pondridge/http1/Upstreams.java
@@ -62,6 +62,7 @@
     /** Some answers come behind interim ones; more than a few are no way to an answer. */
     private static final int MOST_INTERIM = 16;
     private static final long PROBE_TIMEOUT = 250_000_000;
+    private static final AsciiString DEADLINE = AsciiString.cached("Req-Deadline-Ms");
     /** However soon upstreams close: the loop must have time for anything else. */
     private static final long SHORTEST_SWEEP = 5_000_000;
     /**
@@ -129,14 +130,15 @@
 
     @Override
     public Attempt send(long upstream, Job job, long wait, Listener listener) {
-        return send(upstream, message(job, wait), wait, listener);
+        return send(upstream, message(job), wait, listener);
     }
 
-    private static FullHttpRequest message(Job job, long wait) {
+    private static FullHttpRequest message(Job job) {
         FullHttpRequest request = new DefaultFullHttpRequest(HttpVersion.HTTP_1_1, job.method(), job.uri(),
                 Unpooled.wrappedBuffer(job.body()));
         Headers.copyEndToEnd(job.headers(), request.headers());
-        request.headers().set("Req-Deadline-Ms", Math.max(1, wait / 1_000_000));
+        // The time left is set when it is written: the connection may come up late.
+        request.headers().set(DEADLINE, 0);
         if (!job.method().equals(HttpMethod.GET) || job.body().length > 0) {
             request.headers().set(HttpHeaderNames.CONTENT_LENGTH, job.body().length);
         }
@@ -145,7 +147,7 @@
 
     private Sending send(long upstream, FullHttpRequest request, long wait, Listener listener) {
         Pool pool = pools.getOrDefault(upstream, nobody);
-        Sending attempt = new Sending(pool, request, listener);
+        Sending attempt = new Sending(pool, request, listener, System.nanoTime() + wait);
         attempt.timer = loop.schedule(attempt::late, wait, TimeUnit.NANOSECONDS);
         pool.unwritten.add(attempt);
         Connection idle = pool.ready ? pool.take(System.nanoTime()) : null;
@@ -281,15 +283,25 @@
         private final Pool pool;
         private final FullHttpRequest request;
         private final Listener listener;
+        /** By {@link System#nanoTime}: from then on nobody waits for its answer. */
+        private final long until;
         private Connection connection;
         private Future<?> timer;
         private boolean written;
         private boolean over;
 
-        Sending(Pool pool, FullHttpRequest request, Listener listener) {
+        Sending(Pool pool, FullHttpRequest request, Listener listener, long until) {
             this.pool = pool;
             this.request = request;
             this.listener = listener;
+            this.until = until;
+        }
+
+        /** Danger: told what was left when it was ordered, an upstream works on after nobody waits. */
+        private void tellTimeLeft() {
+            if (request.headers().contains(DEADLINE)) {
+                request.headers().set(DEADLINE, Math.max(1, (until - System.nanoTime()) / 1_000_000));
+            }
         }
 
         /** Closes its connection as well. */
@@ -447,6 +459,7 @@
                 attempt.end(Outcome.NEVER_SENT);
                 return;
             }
+            attempt.tellTimeLeft();
             channel.writeAndFlush(attempt.request).addListener(done -> {
                 if (done.isSuccess()) {
                     attempt.written = true;
--- a/src/test/java/pondridge/http1/UpstreamsTest.java
+++ b/src/test/java/pondridge/http1/UpstreamsTest.java
@@ -2,6 +2,7 @@
 
 import static org.junit.jupiter.api.Assertions.assertArrayEquals;
 import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import io.netty.channel.EventLoop;
 import io.netty.channel.MultiThreadIoEventLoopGroup;
@@ -85,6 +86,22 @@
         }
     }
 
+    /** What an upstream is told to be left is what is left when it is written, however late that is. */
+    @Test
+    void theTimeToldIsWhatIsLeftAtTheWriting() throws Exception {
+        try (LateConnection late = new LateConnection()) {
+            Upstreams upstreams = upstreams(late.address(), LONG, 10);
+            loop.submit(() -> upstreams.send(1, get("/api/x"), LONG, this::ended)).sync();
+            long ordered = System.nanoTime();
+            loop.schedule(() -> { }, 300, TimeUnit.MILLISECONDS).sync();
+            long waited = System.nanoTime() - ordered;
+            try (Socket came = late.accept()) {
+                String told = Stub.header(Stub.head(came.getInputStream()), "Req-Deadline-Ms");
+                assertTrue(Long.parseLong(told) * 1_000_000 <= LONG - waited, "told " + told + " ms");
+            }
+        }
+    }
+
     /** Nothing of a request that has ended is written, on a connection that comes up late or is idle. */
     @Test
     void whatIsNoLongerWantedIsNotWritten() throws Exception {
