Let the level fall while nothing is heard, so that no sidecar turns away all

`Level.value` only moved when a report came; at 0.98 nearly nothing is sent, so none comes. 18 of 95 sidecars sent nothing for 4 s with 15 requests or more. Ruled out: lateness (borne 96 to 100 in 100), servers shut (0 to 3 of 60), what is hopeless or held in vain (none).

Change: after an aim with no word the level falls by what a busy report adds in an aim. A sidecar of little traffic sends one request in a few aims and hears again.

--- a/src/main/java/pondridge/Rules.java
+++ b/src/main/java/pondridge/Rules.java
@@ -816,15 +816,26 @@
                 return;
             }
             double aims = Math.min(1, (now - toldAt) / (double) health.firstBackoff);
-            value = rules(now) ? value : 0;
+            value = rules(now) ? at(now) : 0;
             toldAt = now;
             double step = load[field] >= 1 ? 1 - BUSY : -Math.max(BUSY, value / 2);
             value = Math.max(0, Math.min(HIGHEST, value + aims * step));
         }
 
-        double shedding(RequestClass kind) {
-            return kind.worth() >= meanWorth ? Math.max(0, (value - DEAREST) / (1 - DEAREST))
-                    : Math.min(1, value / DEAREST);
+        /**
+         * After an aim with no word it falls as fast as queues raise it. Danger: a sidecar of little traffic
+         * that sheds hears nothing any more; held by what it heard last, it turned away all for ten seconds
+         * while the servers stood idle.
+         */
+        double at(long now) {
+            double silent = Math.max(0, (now - toldAt) / (double) health.firstBackoff - 1);
+            return Math.max(0, value - (1 - BUSY) * silent);
+        }
+
+        double shedding(long now, RequestClass kind) {
+            double level = at(now);
+            return kind.worth() >= meanWorth ? Math.max(0, (level - DEAREST) / (1 - DEAREST))
+                    : Math.min(1, level / DEAREST);
         }
     }
 
@@ -974,7 +985,7 @@
          */
         private double shedding(long now, Call call) {
             if (level.rules(now)) {
-                return level.shedding(call.kind);
+                return level.shedding(now, call.kind);
             }
             return 1 - borne(now);
         }
@@ -1044,7 +1055,7 @@
 
         /** Under overload a further attempt takes the place of a first one. */
         boolean worthRetry(long now, Call call) {
-            return now < call.aimAt && (level.rules(now) ? level.value : 1 - borne(now)) < 0.8;
+            return now < call.aimAt && (level.rules(now) ? level.at(now) : 1 - borne(now)) < 0.8;
         }
 
         long stayAway(Call call) {
--- a/src/test/java/pondridge/RulesTest.java
+++ b/src/test/java/pondridge/RulesTest.java
@@ -498,6 +498,21 @@
         assertEquals(0, refused(host, 171, 173, 20 * MS, 5, 0)[0], "and not where it stood");
     }
 
+    /** Who sheds hears nothing of the servers: what it heard last must not have it turn away all for long. */
+    @Test
+    void theLevelFallsWhileNothingIsHeard() {
+        for (int seed = 0; seed < 20; seed++) {
+            Recorder host = new Recorder(Recorder.reportingSettings(100), seed).withUpstreams(20);
+            refused(host, 0, 200, 20 * MS, 5, 3);
+            int before = host.sends.size();
+            for (int i = 0; i < 8; i++) {
+                host.request(10_000 + i, 0);
+                host.advance(500 * MS);
+            }
+            assertTrue(host.sends.size() > before, "seed " + seed + ": eight aims, each with a cheap request");
+        }
+    }
+
     /** Late answers alone shed nothing where queues are reported: they tell of what has passed. */
     @Test
     void aJamThatHasGoneShedsNothing() {
