Look whether a client is still there before anything is sent on for it

Need: an attempt, first or further, that begins more than 0.1 s after its client's close breaks the term. Where the loop stands still (a collection, a share of a core) the close lies unread in the socket, and what is due is handled first when that comes first in the turn: a server's connection that is up, a server's 500, a timer.

At fault: Engine.Try.wanted asked for what the loop had read, not for what had come; Engine.submit sent a request on from within the reading of its socket, so that an end right behind it was never seen before.

Ruled out: putting off what is due by a turn of the loop, which delays further attempts and would need another look at drains and keyed windows; a time since the last turn, which can't tell a pause right behind the selector's wait from an idle wait; a timer that measures it, which wakes an idle sidecar.

Now the one client's socket is read right before the first byte (Client.here, Unread), over HTTP/1.1 and HTTP/2 alike, unless all sockets are known to have been read within 50 ms; a request is told to the module at the end of the turn in which it came, unless the same is known. So a busy loop does not pay, a quiet one pays a read a send. Who is found gone is hung up with the module before his attempt ends, so that no other server is tried.

--- a/src/main/java/pondridge/core/Client.java
+++ b/src/main/java/pondridge/core/Client.java
@@ -8,6 +8,16 @@
     /** Called right before {@link #refused} or {@link #failed}, with what had been tried; for who asks. */
     default void tried(Tried tried) { }
 
+    /**
+     * Whether it is still there, asked right before something is sent on for it. Who says no calls
+     * {@link Requests#hangup} as well, later.
+     *
+     * @param late whether the loop may have stood still: then a leave may lie unread in the socket
+     */
+    default boolean here(boolean late) {
+        return true;
+    }
+
     /** Served by an upstream. */
     void served(Answer answer);
 
--- a/src/main/java/pondridge/core/Engine.java
+++ b/src/main/java/pondridge/core/Engine.java
@@ -31,6 +31,13 @@
 public final class Engine implements Balancer.Actions, Requests {
     /** What of a client's wait is kept for the answer's way back; the module does not know of it. */
     private static final long ANSWER_ROOM = 10_000_000;
+    /**
+     * How long clients' sockets may go unread before something is sent on: half of the 0.1 s in which nothing
+     * may begin once a client has left; the rest is for what comes between look and write. Beyond it the one
+     * client's socket is read first, which is exact: what a stand-still hides has no other sign, since one
+     * turn may bring the connection to the server before the client's end. A busy loop never pays for it.
+     */
+    private static final long UNREAD_TIME = 50_000_000;
     /** The module's messages have 256 bytes: this many servers in one. */
     private static final int HEARD_BYTES = 12;
     private static final int MOST_HEARD = 256 / HEARD_BYTES;
@@ -49,6 +56,9 @@
         private boolean doubt;
         /** When the first attempt that may have run was sent. */
         private long doubtSince;
+        private long lookedAt;
+        /** Found gone by a look; its front will say so, too. */
+        private boolean left;
         private boolean over;
 
         Call(Job job, Client client) {
@@ -125,7 +135,7 @@
 
         @Override
         public boolean wanted() {
-            return !call.over && now() < beginBy;
+            return !call.over && now() < beginBy && here(call) && now() < beginBy;
         }
 
         @Override
@@ -157,6 +167,12 @@
     private long endsAt = Long.MAX_VALUE;
     private long lastId;
     private long asked;
+    /** New requests that wait for the end of the turn in which they came. */
+    private final ArrayDeque<Runnable> turn = new ArrayDeque<>(1);
+    /** Ends of two turns: all that had come before the earlier one has been read by now. */
+    private long turnedAt;
+    private long turnedBefore;
+    private boolean looking;
 
     /**
      * An engine with a decision module of its own.
@@ -317,20 +333,67 @@
             return 0;
         }
         long id = ++lastId;
-        long left = Math.max(1, Math.min(job.waitMs() * 1_000_000 - ANSWER_ROOM, endsAt - now()));
+        long came = now();
+        long left = Math.max(1, Math.min(job.waitMs() * 1_000_000 - ANSWER_ROOM, endsAt - came));
         Call call = new Call(job, client);
+        call.deadline = came + left;
         calls.put(id, call);
         // The module answers by its own deadline; this holds for whatever it may have missed.
         call.timer = loop.schedule(() -> tell(now -> {
             finish(id, call, call::failed);
             rules.hangup(now, id);
         }), left + ANSWER_ROOM / 2, TimeUnit.NANOSECONDS);
+        if (looking || came - turnedBefore > UNREAD_TIME) {
+            // Its client's end may lie right behind it; not read from within the reading of that socket.
+            turn.add(() -> begin(id, call));
+            if (turn.size() == 1) {
+                // Not executed: what is done so from within a task comes in the same turn.
+                loop.schedule(this::endTurn, 0, TimeUnit.NANOSECONDS);
+            }
+        } else {
+            begin(id, call);
+        }
+        return id;
+    }
+
+    private void endTurn() {
+        turnedBefore = turnedAt;
+        turnedAt = now();
+        // What comes meanwhile waits for the next turn.
+        List<Runnable> came = List.copyOf(turn);
+        turn.clear();
+        came.forEach(Runnable::run);
+    }
+
+    private void begin(long id, Call call) {
+        if (call.over) {
+            return;
+        }
+        if (!here(call)) {
+            call.end();
+            forget(id, call);
+            return;
+        }
         tell(now -> {
-            call.deadline = now + left;
-            rules.request(now, new Request(id, job.requestClass(), job.tenant(), job.key(), left,
-                    job.costHint(), job.clientRetry(), !job.method().equals(HttpMethod.GET)));
+            Job job = call.job;
+            rules.request(now, new Request(id, job.requestClass(), job.tenant(), job.key(),
+                    Math.max(1, call.deadline - now), job.costHint(), job.clientRetry(),
+                    !job.method().equals(HttpMethod.GET)));
         });
-        return id;
+    }
+
+    /** Looks whether the client is still there, in its socket if that may not have been read for long. */
+    private boolean here(Call call) {
+        long now = now();
+        boolean late = now - Math.max(turnedBefore, call.lookedAt) > UNREAD_TIME;
+        if (late) {
+            call.lookedAt = now;
+        }
+        boolean before = looking;
+        looking = true;
+        call.left |= !call.client.here(late);
+        looking = before;
+        return !call.left;
     }
 
     @Override
@@ -409,6 +472,10 @@
         tell(now -> {
             long took = now - attempt.sentAt;
             call.ended(outcome, attempt.sentAt);
+            if (call.left && !call.over) {
+                call.end();
+                rules.hangup(now, attempt.id);
+            }
             if (observer != null && list.name(attempt.upstream) != null) {
                 observer.ended(list.name(attempt.upstream), call.job.requestClass(), outcome, took);
             }
--- a/src/main/java/pondridge/gateway/Dispatcher.java
+++ b/src/main/java/pondridge/gateway/Dispatcher.java
@@ -210,6 +210,11 @@
             }
         }
 
+        @Override
+        public boolean here(boolean late) {
+            return client.here(late);
+        }
+
         @Override
         public void tried(Tried what) {
             tried = what;
--- a/src/main/java/pondridge/gateway/LinkFront.java
+++ b/src/main/java/pondridge/gateway/LinkFront.java
@@ -35,6 +35,7 @@
 import pondridge.core.Job;
 import pondridge.core.JobReader;
 import pondridge.core.Tried;
+import pondridge.core.Unread;
 import pondridge.http2.HeldBytes;
 
 /**
@@ -218,6 +219,12 @@
             send(response, false);
         }
 
+        @Override
+        public boolean here(boolean late) {
+            // A keyed request runs to its end, whoever has left: it has no journey to hang up.
+            return journey == 0 || Unread.open(stream.parent(), late) && stream.isActive();
+        }
+
         @Override
         public void tried(Tried what) {
             tried = what;
--- a/src/main/java/pondridge/grpc/GrpcFront.java
+++ b/src/main/java/pondridge/grpc/GrpcFront.java
@@ -38,6 +38,7 @@
 import pondridge.core.Job;
 import pondridge.core.JobReader;
 import pondridge.core.Requests;
+import pondridge.core.Unread;
 import pondridge.http2.Door;
 import pondridge.http2.HeldBytes;
 
@@ -272,6 +273,11 @@
             }
         }
 
+        @Override
+        public boolean here(boolean late) {
+            return Unread.open(stream.parent(), late) && stream.isActive();
+        }
+
         @Override
         public void served(Answer answer) {
             String status = answer.headers().get(GrpcWording.STATUS);
--- a/src/main/java/pondridge/http1/Frontend.java
+++ b/src/main/java/pondridge/http1/Frontend.java
@@ -54,6 +54,7 @@
 import pondridge.core.Job;
 import pondridge.core.JobReader;
 import pondridge.core.Requests;
+import pondridge.core.Unread;
 
 /**
  * The application's side: reads requests, answers each once, and tells malformed ones so itself. A client
@@ -123,8 +124,8 @@
                             return;
                         }
                         Connection connection = new Connection(made);
-                        made.pipeline().addLast(new HttpResponseEncoder(), connection.new Decoder(),
-                                connection);
+                        made.pipeline().addLast(new Unread(), new HttpResponseEncoder(),
+                                connection.new Decoder(), connection);
                     }
                 })
                 .bind(address);
@@ -368,6 +369,11 @@
             }
         }
 
+        @Override
+        public boolean here(boolean late) {
+            return Unread.open(channel, late);
+        }
+
         @Override
         public void served(Answer answer) {
             FullHttpResponse response = new DefaultFullHttpResponse(HttpVersion.HTTP_1_1,
--- a/src/main/java/pondridge/http2/Door.java
+++ b/src/main/java/pondridge/http2/Door.java
@@ -30,6 +30,7 @@
 import java.util.function.BiConsumer;
 import java.util.function.Function;
 import java.util.function.LongSupplier;
+import pondridge.core.Unread;
 
 /**
  * Listens for HTTP/2 and guards what comes in: how many connections, how long one may say nothing, what is
@@ -168,6 +169,7 @@
                     (long) (limits.age() * (0.9 + 0.2 * random.nextDouble())), TimeUnit.NANOSECONDS);
             made.closeFuture().addListener(closed -> old.cancel(false));
         }
+        made.pipeline().addLast(new Unread());
         if (tls != null) {
             made.pipeline().addLast(tls.apply(made));
         }
--- a/src/test/java/pondridge/grpc/GrpcBed.java
+++ b/src/test/java/pondridge/grpc/GrpcBed.java
@@ -92,6 +92,10 @@
         return engine;
     }
 
+    EventLoop loop() {
+        return loop;
+    }
+
     GrpcFront front() {
         return front;
     }
--- a/src/test/java/pondridge/grpc/GrpcFramesTest.java
+++ b/src/test/java/pondridge/grpc/GrpcFramesTest.java
@@ -29,6 +29,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.TimeUnit;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
@@ -201,6 +202,31 @@
         assertEquals(2, server.runs(), "the cancelled one was not sent again");
     }
 
+    /** A call and its cancel lie unread together while the loop stands still: it is not sent on at all. */
+    @Test
+    void whoHasCancelledWhileTheLoopStoodStillIsNotServed() throws Exception {
+        assertEquals("0", call(head("order-book", "r1"), true, ONE).ended());
+        CountDownLatch stands = new CountDownLatch(1);
+        CountDownLatch go = new CountDownLatch(1);
+        bed.loop().execute(() -> {
+            stands.countDown();
+            try {
+                go.await(Fleet.LIMIT_S, TimeUnit.SECONDS);
+            } catch (InterruptedException e) {
+                Thread.currentThread().interrupt();
+            }
+        });
+        stands.await();
+        call(head("order-book", "r2"), true, ONE).stream()
+                .writeAndFlush(new DefaultHttp2ResetFrame(Http2Error.CANCEL)).sync();
+        // Longer than a leave may go unseen.
+        Thread.sleep(150);
+        go.countDown();
+        Direct.until(() -> bed.engine().asked() == 2 && bed.idle(), "it is over");
+        assertEquals("0", call(head("order-book", "r3"), true, ONE).ended());
+        assertEquals(2, server.runs(), "not the one between");
+    }
+
     private void stop() {
         connection.close();
         bed.close();
--- a/src/test/java/pondridge/sidecar/ClientLeavesTest.java
+++ b/src/test/java/pondridge/sidecar/ClientLeavesTest.java
@@ -43,6 +43,8 @@
                 while (bed.loop.submit(bed.engine::asked).get() == 0) {
                     Thread.onSpinWait();
                 }
+                // Behind the turn in which the module is told.
+                bed.loop.schedule(() -> { }, 1, TimeUnit.MILLISECONDS).sync();
                 assertEquals(0, outcomes.size(), "it waits for its connection");
                 client.socket.close();
                 assertEquals(Outcome.NEVER_SENT, Stub.next(outcomes));
