Read on behind an open request to its client's end, whatever it has sent

Need: a client that had sent more than 64 KiB behind its open request was read no further (Frontend, channelRead0), so that its leave was seen at the second answer only, and requests of its were sent on until then.

Ruled out: refusing what lies beyond a bound, since a client that sends many requests at once would lose those that are served now; reading on without a bound. A close behind bytes that nobody reads can't be seen.

Now such a connection is read on up to 1 MiB, as long as all of them together hold less than 8 MiB beyond that (64 KiB each in any case, as before); a client that sends more is ended. Parts of requests count as at least 256 bytes, since a body in chunks of one byte took many times what was counted.

Seen: StandStillTest.aLeaveIsSeenBehindMuchThatWaits fails with the old stop put back, and ran ten times in a row with this.

--- a/src/main/java/pondridge/http1/Frontend.java
+++ b/src/main/java/pondridge/http1/Frontend.java
@@ -79,10 +79,17 @@
     private static final long SWEEP_MS = 100;
     /** While draining: a connection just made whose request is on its way gets this long for it. */
     private static final long NEW_TIME = 300_000_000;
-    /** What is held of requests that came behind an open one; beyond that their client is read no further. */
-    private static final int MOST_WAITING = LARGEST_BODY;
-    /** What a request's head counts as in that, beside its path. */
+    /**
+     * What is held of requests that came behind an open one, so much for each connection in any case.
+     * Danger: were a client read no further then, its leave would lie unseen behind what it sent.
+     */
+    private static final int WAITING = LARGEST_BODY;
+    /** So much where there is room for it in all; a client that sends more is ended. */
+    private static final int MOST_WAITING = 1 << 20;
+    private static final int WAITING_IN_ALL = 8 << 20;
+    /** What a request's head counts as in that, beside its path, and what each part of one does. */
     private static final int HEAD_BYTES = 2048;
+    private static final int PART_BYTES = 256;
 
     /** Where a connection is. Those before {@link #ASKED} may make room for others, the first one first. */
     private enum Stage { LINGERING, SILENT, IDLE, NEW, READING, ASKED, ANSWERED }
@@ -97,6 +104,7 @@
     private final Set<Connection> connections = new LinkedHashSet<>();
     private final Set<String> ids = new HashSet<>();
     private final ArrayDeque<Past> past = new ArrayDeque<>();
+    private int heldInAll;
     private boolean ready;
     private boolean draining;
     private long acceptedAt = System.nanoTime();
@@ -283,10 +291,13 @@
         @Override
         protected void channelRead0(ChannelHandlerContext context, HttpObject message) {
             if (occupied() || !waiting.isEmpty()) {
+                if (!channel.isActive()) {
+                    return;
+                }
                 waiting.add(new Waiting(ReferenceCountUtil.retain(message), System.nanoTime()));
-                held += size(message);
-                if (held > MOST_WAITING) {
-                    channel.config().setAutoRead(false);
+                hold(size(message));
+                if (held > WAITING && (held > MOST_WAITING || heldInAll > WAITING_IN_ALL)) {
+                    channel.close();
                 }
             } else {
                 take(message);
@@ -426,7 +437,7 @@
         private void proceed() {
             while (!waiting.isEmpty() && !occupied()) {
                 Waiting next = waiting.poll();
-                held -= size(next.message);
+                hold(-size(next.message));
                 waited = System.nanoTime() - next.since;
                 try {
                     take(next.message);
@@ -435,15 +446,17 @@
                     waited = 0;
                 }
             }
-            if (held <= MOST_WAITING && lingered <= LINGER_BYTES) {
-                channel.config().setAutoRead(true);
-            }
         }
 
         private void drop() {
             waiting.forEach(each -> ReferenceCountUtil.release(each.message));
             waiting.clear();
-            held = 0;
+            hold(-held);
+        }
+
+        private void hold(int more) {
+            held += more;
+            heldInAll += more;
         }
 
         /** The request that was open is no more. */
@@ -460,7 +473,6 @@
             job = null;
             body = null;
             drop();
-            channel.config().setAutoRead(true);
             FullHttpResponse response = plain(status, text);
             response.headers().set(HttpHeaderNames.CONNECTION, HttpHeaderValues.CLOSE);
             HttpUtil.setContentLength(response, response.content().readableBytes());
@@ -490,7 +502,7 @@
 
     private static int size(HttpObject message) {
         int head = message instanceof HttpRequest request ? HEAD_BYTES + request.uri().length() : 0;
-        return head + (message instanceof HttpContent content ? content.content().readableBytes() : 0);
+        return PART_BYTES + head + (message instanceof HttpContent content ? content.content().readableBytes() : 0);
     }
 
     private static HttpResponseStatus status(Throwable cause) {
--- a/src/test/java/pondridge/sidecar/StandStillTest.java
+++ b/src/test/java/pondridge/sidecar/StandStillTest.java
@@ -1,6 +1,7 @@
 package pondridge.sidecar;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertThrows;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import com.fasterxml.jackson.databind.node.ObjectNode;
@@ -142,4 +143,39 @@
             assertEquals("c", Stub.header(Stub.next(upstream.heads), "Req-Id"), "not the one before");
         }
     }
+
+    /** However much a client has sent behind its open request, it is read to its end; too much ends it. */
+    @Test
+    void aLeaveIsSeenBehindMuchThatWaits() throws Exception {
+        CountDownLatch go = new CountDownLatch(1);
+        try (Stub upstream = new Stub((socket, head) -> {
+            try {
+                return go.await(Stub.LIMIT_S, TimeUnit.SECONDS) && Stub.reply(socket, "200 OK", "", "x");
+            } catch (InterruptedException e) {
+                return false;
+            }
+        }); Bed bed = bed(Bed.json(upstream)); Bed.Client much = new Bed.Client(bed.address);
+                Bed.Client flood = new Bed.Client(bed.address)) {
+            Stub.write(much.socket, many(200));
+            Stub.next(upstream.heads);
+            // Timers of one loop ring in order: this one before the deadline, at which it would be cancelled.
+            bed.loop.execute(() -> bed.loop.schedule(() -> outcomes.add(Outcome.TIMEOUT), 10,
+                    TimeUnit.SECONDS));
+            much.socket.close();
+            assertEquals(Outcome.CANCELLED, Stub.next(outcomes), "before any answer");
+            assertThrows(IOException.class, () -> {
+                Stub.write(flood.socket, many(1000));
+                flood.read();
+            }, "ended, with no answer yet");
+            go.countDown();
+        }
+    }
+
+    private static String many(int count) {
+        StringBuilder all = new StringBuilder();
+        for (int i = 0; i < count; i++) {
+            all.append(Bed.look(count + "-" + i));
+        }
+        return all.toString();
+    }
 }
