Wait up to 5 s for a port that the process before still holds

Change: `PatientBind` tries again every 50 ms for 5 s where the address can't be bound (also one that is not there yet), on the loop, which waits in between; then one line with address and reason, and status 1. All else that goes wrong ends at once. With gRPC that front is bound first, so that ready means both.

Seen red: the first test with LONGEST 0 (as it was), the second with no bound. `/up` after the port is let go: within the tests' limit, not measured further.

--- a/src/main/java/pondridge/http1/Frontend.java
+++ b/src/main/java/pondridge/http1/Frontend.java
@@ -117,7 +117,10 @@
         this.mostConnections = mostConnections;
     }
 
-    /** Listens; requests are answered at once, {@code /up} says 200 after {@link #ready}. */
+    /**
+     * Listens; requests are answered at once, {@code /up} says 200 after {@link #ready}. May be called again
+     * where it failed.
+     */
     public ChannelFuture listen(EventLoopGroup group, InetSocketAddress address) {
         ChannelFuture bound = new ServerBootstrap().group(group).channel(NioServerSocketChannel.class)
                 .option(ChannelOption.SO_BACKLOG, 1024)
@@ -138,7 +141,12 @@
                 })
                 .bind(address);
         server = bound.channel();
-        server.eventLoop().scheduleWithFixedDelay(this::sweep, SWEEP_MS, SWEEP_MS, TimeUnit.MILLISECONDS);
+        bound.addListener(done -> {
+            if (done.isSuccess()) {
+                bound.channel().eventLoop().scheduleWithFixedDelay(this::sweep, SWEEP_MS, SWEEP_MS,
+                        TimeUnit.MILLISECONDS);
+            }
+        });
         return bound;
     }
 
--- a/src/main/java/pondridge/sidecar/Main.java
+++ b/src/main/java/pondridge/sidecar/Main.java
@@ -1,6 +1,5 @@
 package pondridge.sidecar;
 
-import io.netty.channel.ChannelFuture;
 import io.netty.channel.EventLoop;
 import io.netty.channel.MultiThreadIoEventLoopGroup;
 import io.netty.channel.nio.NioIoHandler;
@@ -135,18 +134,12 @@
                 : new SecondFront.Grpc(loop, settings.grpc(), config, engine);
         // Only where discovery is; all else stays as it was at the start.
         running.complete(read -> loop.execute(() -> discovery.move(read.discovery())));
-        second.listen();
-        ChannelFuture bound = frontend.listen(group, config.listen());
-        bound.addListener(done -> {
-            if (done.isSuccess()) {
-                endAtSigterm(loop, config, engine, frontend, second);
-                WarmUp.run(loop, config.options(), (InetSocketAddress) bound.channel().localAddress(),
-                        rehearsal ? Main::end : () -> ready(config, frontend, second));
-            } else {
-                System.err.println("pondridge: listen: " + done.cause().getMessage());
-                Runtime.getRuntime().halt(1);
-            }
-        });
+        second.listen(() -> PatientBind.listen(loop, config.listen(),
+                () -> frontend.listen(group, config.listen()), channel -> {
+                    endAtSigterm(loop, config, engine, frontend, second);
+                    WarmUp.run(loop, config.options(), (InetSocketAddress) channel.localAddress(),
+                            rehearsal ? Main::end : () -> ready(config, frontend, second));
+                }));
     }
 
     private static void ready(Config config, Frontend frontend, SecondFront second) {
--- a/src/main/java/pondridge/sidecar/SecondFront.java
+++ b/src/main/java/pondridge/sidecar/SecondFront.java
@@ -1,6 +1,7 @@
 package pondridge.sidecar;
 
 import io.netty.channel.EventLoop;
+import java.net.InetSocketAddress;
 import pondridge.core.Engine;
 import pondridge.grpc.GrpcFront;
 import pondridge.grpc.GrpcSettings;
@@ -11,8 +12,10 @@
     /** No other front. */
     SecondFront NONE = new SecondFront() { };
 
-    /** Listens; what comes before {@link #ready} is told that it is not. */
-    default void listen() { }
+    /** Listens, then calls {@code listening}; what comes before {@link #ready} is told that it is not. */
+    default void listen(Runnable listening) {
+        listening.run();
+    }
 
     /** The program is warm. */
     default void ready() { }
@@ -30,9 +33,13 @@
 
     /** gRPC's front, by its settings. */
     final class Grpc implements SecondFront {
+        private final EventLoop loop;
+        private final InetSocketAddress address;
         private final GrpcFront front;
 
         Grpc(EventLoop loop, GrpcSettings settings, Config config, Engine engine) {
+            this.loop = loop;
+            address = settings.listen();
             front = new GrpcFront(loop, settings, config.options(), engine,
                     Long.toHexString(System.nanoTime()),
                     (event, peer, detail) -> System.err.println("pondridge: " + event + ' ' + peer + ": "
@@ -40,13 +47,8 @@
         }
 
         @Override
-        public void listen() {
-            front.listen().addListener(done -> {
-                if (!done.isSuccess()) {
-                    System.err.println("pondridge: listen for gRPC: " + done.cause().getMessage());
-                    Runtime.getRuntime().halt(1);
-                }
-            });
+        public void listen(Runnable listening) {
+            PatientBind.listen(loop, address, front::listen, channel -> listening.run());
         }
 
         @Override
--- a/src/test/java/pondridge/sidecar/StartIT.java
+++ b/src/test/java/pondridge/sidecar/StartIT.java
@@ -1,5 +1,6 @@
 package pondridge.sidecar;
 
+import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertFalse;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
@@ -170,4 +171,37 @@
             assertFalse(busy.heads.isEmpty(), "nobody asked");
         }
     }
+
+    /** As after a restart: the process before ends by SIGKILL up to 3.7 s after it was told to. */
+    @Test
+    void aPortStillHeldIsTakenAsSoonAsItIsLetGo() throws Exception {
+        ServerSocket before = anyPort();
+        try (Stub discovery = new Stub((socket, head) -> true)) {
+            InetSocketAddress address = (InetSocketAddress) before.getLocalSocketAddress();
+            Process process = start(0, Bed.json().put("listen", "127.0.0.1:" + address.getPort())
+                    .put("discovery", discovery.endpoint()));
+            // It asks in the same turn in which it first tries to listen.
+            Stub.next(discovery.heads);
+            Thread.sleep(500);
+            assertTrue(process.isAlive(), "ended at once");
+            before.close();
+            long began = System.nanoTime();
+            assertTrue(awaitUp(process, address, began).ready < NEVER, "never ready");
+        } finally {
+            before.close();
+        }
+    }
+
+    @Test
+    void aPortHeldForEverEndsTheStartWithOneLine() throws Exception {
+        try (ServerSocket other = anyPort()) {
+            Process process = start(0, Bed.json().put("listen", "127.0.0.1:" + other.getLocalPort()));
+            assertTrue(process.waitFor(Stub.LIMIT_S, TimeUnit.SECONDS), "still running");
+            assertEquals(1, process.exitValue());
+            String said = Files.readString(log(0));
+            assertEquals(1, said.lines().count(), said);
+            assertTrue(said.startsWith("pondridge: listen: 127.0.0.1:" + other.getLocalPort() + ": "), said);
+            assertTrue(said.trim().endsWith("in use"), said);
+        }
+    }
 }
