Say at a start that the class archive was not taken

Need: without the archive a start is slower and said nothing of it (owed in the roadmap).

An archive that is there and does not fit is told by the JVM itself, in one line (seen with a moved jar). For one that is missing it says nothing and gives up sharing as a whole, which the property java.vm.info tells at no cost: `Main.ready` says one line then.

--- a/src/main/java/pondridge/sidecar/Main.java
+++ b/src/main/java/pondridge/sidecar/Main.java
@@ -145,6 +145,10 @@
     private static void ready(Config config, Frontend frontend, SecondFront second) {
         frontend.ready();
         second.ready();
+        if (!System.getProperty("java.vm.info", "").contains("sharing")) {
+            // Of an archive that is there and does not fit, the JVM tells itself.
+            System.err.println("pondridge: the class archive was not taken, so the start was slow");
+        }
         System.err.println("pondridge: " + config.name() + " ready at " + config.listen());
     }
 
