Ask discovery anew at a steady pace, so that a change is told 6 s after its return

Seen: with askWithin 60 s a change came up to 26 s after discovery's return; counted as told are 6 s, for any settings.

At fault: - Rules.Roster.listChanged: waits doubled from askWithin/40 to askWithin/2, and silence, the connect time-out and the answer's own wait came on top. Now calls begin 0.6 to 1.2 s apart; after one that took longer there is a pause of up to 0.2 s, after a break up to 0.75 s. Nothing scales with askWithin. Hung, then refused, then answered after 2 s sums up to 5.9 s. - the same, asked++ on any list: the whole list that comes by its own call (after a move) while the watch was broken ended the asking for good: nobody ever asked again. It does not count as the watch's answer any more. - Rules.Roster.follow: an unanswered call was replaced after askWithin/2: never in time with 60 s, before it could be answered with 1 s. Now after 4 s. - Discovery.Call.heard: each byte of a first answer, up to 5 s, began the silence anew: 8 s. A first answer has 2.5 s from the call's start, an object 3 s from its first byte; after one that was late the next has 5 s. - Discovery.Call.take: the whole list after a move was asked for once; if that failed it was never asked for again. - Discovery.Call.open: with no descriptor left Netty tells the failure on another thread. By reading; no test. - new Random(seed): the first draws of seeds 0, 1, 2, ... agree, so sidecars so numbered would call together.

An open watch costs no call within an hour, as before.

Of the tests each line was broken by itself and seen red, but the descriptor's.

--- a/src/main/java/pondridge/Rules.java
+++ b/src/main/java/pondridge/Rules.java
@@ -9,6 +9,7 @@
 import java.util.Map;
 import java.util.Random;
 import java.util.Set;
+import java.util.SplittableRandom;
 import java.util.TreeMap;
 import java.util.TreeSet;
 
@@ -24,6 +25,8 @@
     private final Settings settings;
     private final Actions actions;
     private final Random random;
+    /** Mixes its seed: a plain one's first draws for seeds that are numbered through all but agree. */
+    private final SplittableRandom phases;
     private final Pattern pattern = new Pattern();
     private final Ledger ledger = new Ledger();
     private final Roster roster;
@@ -37,6 +40,7 @@
         this.settings = settings;
         this.actions = actions;
         this.random = new Random(seed);
+        this.phases = new SplittableRandom(seed);
         this.alarms = new Alarms(actions);
         this.roster = new Roster();
         this.health = new Health();
@@ -487,13 +491,25 @@
         private List<Server> ready = List.of();
         private boolean listed;
         private final FadingSum served = new FadingSum(settings.limits().rampTime(), 0);
-        private long retryWait;
+        /** What discovery has and can be asked for counts as told after 6 s; a call may wait 2 s of them. */
+        private static final long UNANSWERED = 6_000_000_000L - 2_000_000_000L;
+        /** From one call to the next at most, and half of that at least: three of them, and a call's wait. */
+        private static final long EVERY = 1_200_000_000L;
+        /** What came by one break, or by one start, is spread over this. */
+        private static final long SPREAD = 750_000_000L;
+        /** After a call that took longer than its turn: a silent one has used up half of the 6 s by then. */
+        private static final long PAUSE = 200_000_000L;
         private long asked;
+        private long askedAt;
+        private boolean failing;
+        private boolean broken;
 
         void follow(long now) {
+            broken = false;
             if (settings.discovery() == Discovery.SUBSCRIBE) {
+                askedAt = now;
                 actions.subscribe(true);
-                followAgain(now + settings.limits().askWithin() / 2);
+                followAgain(now + UNANSWERED);
             }
         }
 
@@ -506,18 +522,31 @@
             });
         }
 
+        /**
+         * Danger: a broken subscription is silent from now on. Asked for at once, many sidecars whose calls
+         * failed together would hammer discovery together; with waits that grow, the last one would outlast
+         * the 6 s. So calls begin at a steady pace, each sidecar's drawn anew each time, one out at a time.
+         */
+        private void brokeAt(long now) {
+            double draw = phases.nextDouble();
+            long turn = askedAt + (long) (EVERY * (1 + draw) / 2);
+            followAgain(Math.max(turn, now + (long) ((failing ? PAUSE : SPREAD) * draw)));
+            failing = true;
+            broken = true;
+        }
+
         void listChanged(long now, ListKind kind, List<Upstream> entries) {
             if (kind == ListKind.FAILED) {
-                // Danger: a broken subscription is silent from now on. Backs off, with jitter, so that many
-                // sidecars whose calls failed together do not hammer discovery together.
-                long base = Math.max(settings.quantum(), settings.limits().askWithin() / 40);
-                retryWait = Math.max(base, Math.min(retryWait * 2, settings.limits().askWithin() / 2));
-                followAgain(now + retryWait / 2 + random.nextLong(retryWait / 2 + 1));
+                if (!broken) {
+                    brokeAt(now);
+                }
                 return;
             }
-            if (kind != ListKind.CACHED) {
+            // Danger: the whole list may come by a call of its own while the subscription is broken; taken
+            // for the subscription's answer, it would end the asking for good.
+            if (kind != ListKind.CACHED && !broken) {
                 asked++;
-                retryWait = 0;
+                failing = false;
             }
             Set<Long> missing = new TreeSet<>(kind == ListKind.DELTA ? Set.of() : servers.keySet());
             boolean changed = false;
--- a/src/main/java/pondridge/platform/Discovery.java
+++ b/src/main/java/pondridge/platform/Discovery.java
@@ -42,12 +42,14 @@
  */
 public final class Discovery implements Directory {
     /**
-     * A call waits for up to 2 s and empty lines come every 2 s: longer silence is a break. What it hides
-     * counts as told 6 s after the last word: half of that is left for asking anew, twice if one try fails.
+     * Empty lines come every 2 s: longer silence is a break. What it hides counts as told 6 s after the last
+     * word: half of that is left for asking anew, twice if one try fails. So long an object may take, too.
      */
     private static final long SILENCE_MS = 3_000;
-    /** An object that is not whole by then never will be, however steadily its bytes come. */
-    private static final long LONGEST_OBJECT = 5_000_000_000L;
+    /** A call waits for up to 2 s: without a whole first answer by then it is given up. */
+    private static final long ANSWER_MS = 2_500;
+    /** After an object that was not whole in time, so long for the next: better late than never. */
+    private static final long LONGEST_OBJECT_MS = 5_000;
     /** An agent on this machine answers at once; what it learns while a call hangs counts as told at once. */
     private static final long AGENT_SILENCE_MS = 500;
     private static final long AGENT_AGAIN_MS = 100;
@@ -98,6 +100,7 @@
     private long rev;
     private boolean moved;
     private boolean wanted;
+    private boolean slow;
     private Call watch;
 
     /**
@@ -164,6 +167,13 @@
         new Call(false).open();
     }
 
+    /** After a move, until the new service's whole list has come: one call for it at a time. */
+    private void wholeAfterMove() {
+        if (moved && calls.stream().allMatch(call -> call.watching)) {
+            fetch();
+        }
+    }
+
     private void againIfPushed() {
         if (pushed && wanted) {
             loop.schedule(() -> {
@@ -179,9 +189,9 @@
         private final ObjectCutter cutter = new ObjectCutter();
         /** The version that was known when this call began. */
         private final long from = rev;
-        private long objectSince;
         private Channel channel;
         private Future<?> silence;
+        private boolean begun;
         private boolean answered;
         private boolean over;
 
@@ -205,8 +215,11 @@
                     .addListener(done -> {
                         if (done.isSuccess()) {
                             ask();
-                        } else {
+                        } else if (loop.inEventLoop()) {
                             fail();
+                        } else {
+                            // Danger: with no descriptor left there is no channel, nor this thread.
+                            loop.execute(this::fail);
                         }
                     });
         }
@@ -220,15 +233,33 @@
             channel.writeAndFlush(request);
         }
 
+        /**
+         * Danger: bytes that trickle are no answer. Time for a call's first answer runs from its beginning,
+         * for an object from its first byte; neither begins anew with each byte.
+         */
         private void heard() {
-            if (cutter.size() > 0 && System.nanoTime() - objectSince > LONGEST_OBJECT) {
+            if (cutter.size() > 0 || silence != null && !answered && !pushed && !(begun && slow)) {
                 return;
             }
             if (silence != null) {
                 silence.cancel(false);
             }
-            silence = loop.schedule(this::fail, pushed && !answered ? AGENT_SILENCE_MS : SILENCE_MS,
-                    TimeUnit.MILLISECONDS);
+            silence = loop.schedule(this::tooLate, patienceMs(), TimeUnit.MILLISECONDS);
+        }
+
+        private long patienceMs() {
+            if (begun && slow) {
+                return LONGEST_OBJECT_MS;
+            }
+            if (answered || pushed && begun) {
+                return SILENCE_MS;
+            }
+            return pushed ? AGENT_SILENCE_MS : ANSWER_MS;
+        }
+
+        private void tooLate() {
+            slow |= cutter.size() > 0;
+            fail();
         }
 
         void close() {
@@ -246,6 +277,8 @@
                 if (watch == this) {
                     watch = null;
                     againIfPushed();
+                } else if (pushed) {
+                    loop.schedule(Discovery.this::wholeAfterMove, AGENT_AGAIN_MS, TimeUnit.MILLISECONDS);
                 }
                 listener.accept(ListKind.FAILED, List.of());
             }
@@ -256,6 +289,7 @@
             if (over) {
                 return;
             }
+            begun |= message instanceof HttpContent some && some.content().isReadable();
             heard();
             if (message.decoderResult().isFailure() || message instanceof HttpResponse response
                     && !response.status().equals(HttpResponseStatus.OK)) {
@@ -276,9 +310,6 @@
 
         private void take(ByteBuf bytes) throws IOException {
             while (bytes.isReadable() && !over) {
-                if (cutter.size() == 0) {
-                    objectSince = System.nanoTime();
-                }
                 switch (cutter.take(bytes.readByte())) {
                     case OBJECT -> take();
                     case EMPTY_LINE -> {
@@ -287,6 +318,7 @@
                             answered = true;
                             heard();
                             listener.accept(ListKind.DELTA, List.of());
+                            wholeAfterMove();
                         }
                     }
                     case NONSENSE -> fail();
@@ -317,6 +349,7 @@
             Listing listing = Listing.of(node);
             boolean late = outrun(listing);
             answered = true;
+            slow = false;
             heard();
             if (late) {
                 if (!watching) {
@@ -325,13 +358,9 @@
                 return;
             }
             rev = listing.rev();
-            if (moved) {
-                moved = false;
-                if (!listing.all()) {
-                    // Only changes: who was listed by the old service and is not by this one would stay.
-                    fetch();
-                }
-            }
+            // Only changes: who was listed by the old service and is not by this one would stay.
+            moved &= !listing.all();
+            wholeAfterMove();
             listener.accept(listing.all() ? ListKind.FULL : ListKind.DELTA, listing.targets());
         }
 
--- a/src/test/java/pondridge/sidecar/DiscoveryTest.java
+++ b/src/test/java/pondridge/sidecar/DiscoveryTest.java
@@ -267,4 +267,98 @@
             assertEquals(ListKind.FAILED, Stub.next(told).kind, "before 4 s of the 6 s are over");
         }
     }
+
+    /**
+     * A first answer that only trickles is given up with 2 s left for another call's wait; where whole ones
+     * do take so long, the next call waits for it.
+     */
+    @Test
+    void aFirstAnswerThatTricklesIsGivenUpOnceAndThenWaitedFor() throws Exception {
+        String whole = "{\"rev\":43,\"all\":true,\"targets\":[]}\n";
+        AtomicInteger calls = new AtomicInteger();
+        try (Stub stub = new Stub((socket, head) -> {
+            boolean first = calls.getAndIncrement() == 0;
+            for (int i = 0; first && i < 9; i++) {
+                rest();
+            }
+            Stub.write(socket, CHUNKED);
+            int pieces = first ? 30 : 17;
+            for (int i = 0; i < pieces; i++) {
+                Stub.write(socket, chunk(whole.substring(i, i + 1)));
+                rest();
+            }
+            Stub.write(socket, chunk(whole.substring(pieces)));
+            return true;
+        })) {
+            Discovery discovery = discovery(stub);
+            loop.execute(() -> {
+                discovery.watch(true);
+                loop.schedule(() -> told.add(new Told(ListKind.CACHED, List.of())), 4, TimeUnit.SECONDS);
+            });
+            assertEquals(ListKind.FAILED, Stub.next(told).kind, "before 4 s of the 6 s are over");
+            assertEquals(ListKind.CACHED, Stub.next(told).kind);
+            loop.execute(() -> discovery.watch(true));
+            assertEquals(ListKind.FULL, Stub.next(told).kind, "3.4 s from its first byte on");
+        }
+    }
+
+    /** A change that trickles on an open watch is given up as soon as one that falls silent. */
+    @Test
+    void aChangeThatTricklesIsGivenUpLikeSilence() throws Exception {
+        try (Stub stub = new Stub((socket, head) -> {
+            Stub.write(socket, CHUNKED + chunk("\n"));
+            for (int i = 0; i < 30; i++) {
+                Stub.write(socket, chunk(HALF_1.substring(i, i + 1)));
+                rest();
+            }
+            return true;
+        })) {
+            Discovery discovery = discovery(stub);
+            loop.execute(() -> discovery.watch(true));
+            assertEquals(ListKind.DELTA, Stub.next(told).kind);
+            loop.execute(() -> loop.schedule(() -> told.add(new Told(ListKind.CACHED, List.of())), 4,
+                    TimeUnit.SECONDS));
+            assertEquals(ListKind.FAILED, Stub.next(told).kind);
+        }
+    }
+
+    /** So that bytes trickle: no order hangs on it. */
+    private static void rest() {
+        try {
+            Thread.sleep(200);
+        } catch (InterruptedException e) {
+            Thread.currentThread().interrupt();
+        }
+    }
+
+    /** After a move the whole list is asked for until it has come: changes alone leave open who is gone. */
+    @Test
+    void aWholeListThatFailsAfterAMoveIsAskedForAgain() throws Exception {
+        for (boolean pushed : new boolean[] {false, true}) {
+            AtomicInteger fetches = new AtomicInteger();
+            String whole = "{\"rev\":3,\"all\":true,\"targets\":[" + entry("SERVING") + "]}";
+            try (Stub old = new Stub((socket, head) -> true); Stub next = new Stub((socket, head) -> {
+                if (head.contains("watch=1")) {
+                    Stub.write(socket, CHUNKED + chunk(head.contains("from=0 ")
+                            ? "{\"rev\":3,\"all\":false,\"targets\":[]}\n" : "\n"));
+                    return true;
+                }
+                return Stub.reply(socket, fetches.getAndIncrement() == 0 ? "503 No" : "200 OK", "", whole);
+            })) {
+                Discovery discovery = discovery(old, pushed);
+                loop.execute(() -> discovery.watch(true));
+                Stub.next(old.heads);
+                loop.execute(() -> discovery.move(next.address()));
+                assertEquals(ListKind.DELTA, Stub.next(told).kind);
+                assertEquals(ListKind.FAILED, Stub.next(told).kind);
+                if (!pushed) {
+                    loop.execute(() -> discovery.watch(true));
+                    assertEquals(ListKind.DELTA, Stub.next(told).kind, "an empty line");
+                }
+                assertEquals(ListKind.FULL, Stub.next(told).kind);
+                loop.submit(() -> discovery.watch(false)).sync();
+                told.clear();
+            }
+        }
+    }
 }
