Send one request to hear in place of a level that falls by itself

Change: the level stays what was heard last; after two aims without a word one request goes whatever the level, and one more each two aims. So the sum over N sidecars is bounded: N in two aims.

--- a/src/main/java/pondridge/Rules.java
+++ b/src/main/java/pondridge/Rules.java
@@ -828,8 +828,11 @@
         private final boolean many = settings.replicas() >= MANY;
         private final double meanWorth = settings.classes().stream().mapToDouble(RequestClass::worth)
                 .average().orElse(0);
+        /** In aims, without a word: one request is sent to hear. */
+        private static final int SILENT = 2;
         private double value;
         private long toldAt;
+        private long triedAt;
 
         /**
          * Whether it decides what is shed: with many sidecars, while queues are reported. Danger: where
@@ -845,26 +848,29 @@
                 return;
             }
             double aims = Math.min(1, (now - toldAt) / (double) health.firstBackoff);
-            value = rules(now) ? at(now) : 0;
+            value = rules(now) ? value : 0;
             toldAt = now;
             double step = load[field] >= 1 ? 1 - BUSY : -Math.max(BUSY, value / 2);
             value = Math.max(0, Math.min(HIGHEST, value + aims * step));
         }
 
         /**
-         * After an aim with no word it falls as fast as queues raise it. Danger: a sidecar of little traffic
-         * that sheds hears nothing any more; held by what it heard last, it turned away all for ten seconds
-         * while the servers stood idle.
+         * Whether this one goes whatever the level. Danger: a sidecar of little traffic that sheds hears
+         * nothing any more; held by what it heard last, it turned away all for ten seconds while the servers
+         * stood idle. All of them together try so seldom that it is little of what servers can do.
          */
-        double at(long now) {
-            double silent = Math.max(0, (now - toldAt) / (double) health.firstBackoff - 1);
-            return Math.max(0, value - (1 - BUSY) * silent);
+        private boolean trial(long now) {
+            if (now - Math.max(toldAt, triedAt) <= SILENT * health.firstBackoff) {
+                return false;
+            }
+            triedAt = now;
+            return true;
         }
 
         double shedding(long now, RequestClass kind) {
-            double level = at(now);
-            return kind.worth() >= meanWorth ? Math.max(0, (level - DEAREST) / (1 - DEAREST))
-                    : Math.min(1, level / DEAREST);
+            double part = kind.worth() >= meanWorth ? Math.max(0, (value - DEAREST) / (1 - DEAREST))
+                    : Math.min(1, value / DEAREST);
+            return part > 0 && trial(now) ? 0 : part;
         }
     }
 
@@ -1084,7 +1090,7 @@
 
         /** Under overload a further attempt takes the place of a first one. */
         boolean worthRetry(long now, Call call) {
-            return now < call.aimAt && (level.rules(now) ? level.at(now) : 1 - borne(now)) < 0.8;
+            return now < call.aimAt && (level.rules(now) ? level.value : 1 - borne(now)) < 0.8;
         }
 
         long stayAway(Call call) {
