Let no burst of idle clients take the descriptors kept for all else

Need: idle clients may fill the descriptors while discovery is down; its calls, those to servers, SIGHUP and fresh clients still get theirs.

Seen with the program as a process, 128 descriptors and 300 idle clients that come at once: it ended within a second. Cause, by the log and the count of open descriptors: Frontend.makeRoom closed the connection missed least, but that left the set only at the end of the turn. So all that were let in within one turn, 16 of them, made room by the same one, and each turn added up to 15 beyond the bound until nothing was left; then netty's log line could not load a class, and the error ended the loop's thread.

Now whoever makes room is out of the set at once. Till the next turn it still holds its descriptor, so 4 are let in at a time instead of 16; and 48 descriptors are kept back instead of 40, since the JVM and its libraries were counted to hold 35.

Left as it is: below some 100 descriptors the parts together are more than there are.

--- a/src/main/java/pondridge/http1/Frontend.java
+++ b/src/main/java/pondridge/http1/Frontend.java
@@ -11,6 +11,7 @@
 import io.netty.channel.ChannelInitializer;
 import io.netty.channel.ChannelOption;
 import io.netty.channel.EventLoopGroup;
+import io.netty.channel.ServerChannelRecvByteBufAllocator;
 import io.netty.channel.SimpleChannelInboundHandler;
 import io.netty.channel.socket.DuplexChannel;
 import io.netty.channel.socket.nio.NioServerSocketChannel;
@@ -77,6 +78,8 @@
     /** A new connection's request comes at once; one that is silent for longer makes room first. */
     private static final long SILENT_TIME = 100_000_000;
     private static final long SWEEP_MS = 100;
+    /** So many are let in at a time: till the next turn those that make room keep their descriptors, too. */
+    private static final int ACCEPTS = 4;
     /** While draining: a connection just made whose request is on its way gets this long for it. */
     private static final long NEW_TIME = 300_000_000;
     /**
@@ -125,6 +128,8 @@
         ChannelFuture bound = new ServerBootstrap().group(group).channel(NioServerSocketChannel.class)
                 .option(ChannelOption.SO_BACKLOG, 1024)
                 .option(ChannelOption.SO_REUSEADDR, true)
+                .option(ChannelOption.RECVBUF_ALLOCATOR,
+                        new ServerChannelRecvByteBufAllocator().maxMessagesPerRead(ACCEPTS))
                 .childOption(ChannelOption.TCP_NODELAY, true)
                 .childHandler(new ChannelInitializer<Channel>() {
                     @Override
@@ -197,6 +202,8 @@
             }
         }
         if (least != null) {
+            // Danger: its end is told later in the turn, and it would make room for all that come in between.
+            connections.remove(least);
             least.channel.close();
         }
         return least != null;
--- a/src/main/java/pondridge/platform/Config.java
+++ b/src/main/java/pondridge/platform/Config.java
@@ -18,7 +18,8 @@
 public record Config(String name, InetSocketAddress listen, InetSocketAddress discovery, long seed,
         int sockets, Discovery.Listing known, Options options) {
     private static final int FEWEST_SOCKETS = 64;
-    private static final int RESERVED = 40;
+    /** The JVM and its libraries hold 35; the others are for letting in, discovery and the configuration. */
+    private static final int RESERVED = 48;
 
     /** Reads a file. */
     public static Config read(Path file) throws IOException {
--- a/src/test/java/pondridge/sidecar/DeployedIT.java
+++ b/src/test/java/pondridge/sidecar/DeployedIT.java
@@ -1,18 +1,24 @@
 package pondridge.sidecar;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import com.fasterxml.jackson.databind.node.ObjectNode;
+import io.netty.channel.MultiThreadIoEventLoopGroup;
+import io.netty.channel.nio.NioIoHandler;
 import java.io.BufferedReader;
 import java.io.IOException;
 import java.net.ConnectException;
 import java.net.InetAddress;
 import java.net.InetSocketAddress;
 import java.net.ServerSocket;
+import java.nio.ByteBuffer;
+import java.nio.channels.SocketChannel;
 import java.nio.charset.StandardCharsets;
 import java.nio.file.Files;
 import java.nio.file.Path;
+import java.util.List;
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.TimeUnit;
 import org.junit.jupiter.api.AfterEach;
@@ -20,14 +26,19 @@
 import org.junit.jupiter.api.io.TempDir;
 import pondridge.grpc.GrpcProbe;
 import pondridge.http1.Stub;
+import pondridge.standin.DiscoveryStandin;
+import pondridge.standin.DiscoveryStandin.Entry;
 
 /** Both programs as the deploy file starts them, with the packaged jar. */
 class DeployedIT {
+    private static final int SOCKETS = 128;
     private static final String UP = "GET /up HTTP/1.1\r\nHost: a\r\n\r\n";
 
     @TempDir
     private Path folder;
     private Process process;
+    /** What goes before the command in its shell. */
+    private String before = "";
 
     @AfterEach
     void end() {
@@ -42,7 +53,7 @@
         String command = line.substring(line.indexOf('"') + 1, line.lastIndexOf('"'))
                 + String.join("", more);
         Path file = write(config.toString());
-        ProcessBuilder builder = new ProcessBuilder("/bin/sh", "-c", command);
+        ProcessBuilder builder = new ProcessBuilder("/bin/sh", "-c", before + command);
         builder.environment().put("PROXY_CONFIG", file.toString());
         process = builder.start();
     }
@@ -53,7 +64,11 @@
 
     /** SIGHUP, to the program itself: the shell that started it has become it. */
     private void hangUp() throws Exception {
-        assertEquals(0, new ProcessBuilder("kill", "-HUP", Long.toString(process.pid())).start().waitFor());
+        signal("-HUP");
+    }
+
+    private void signal(String name) throws Exception {
+        assertEquals(0, new ProcessBuilder("kill", name, Long.toString(process.pid())).start().waitFor());
     }
 
     private int exit() throws InterruptedException {
@@ -190,6 +205,117 @@
         }
     }
 
+    /** Idle clients that take all there is, and come again at once when they are ended. */
+    private static final class Idlers implements AutoCloseable {
+        private static final int COUNT = 300;
+        private final Thread thread;
+        private final CountDownLatch full = new CountDownLatch(COUNT * 2);
+        private volatile boolean over;
+
+        Idlers(InetSocketAddress address) {
+            thread = new Thread(() -> {
+                SocketChannel[] all = new SocketChannel[COUNT];
+                ByteBuffer sink = ByteBuffer.allocate(64);
+                for (int i = 0; !over; i = (i + 1) % COUNT) {
+                    try {
+                        if (all[i] == null) {
+                            all[i] = SocketChannel.open(address);
+                            all[i].configureBlocking(false);
+                            full.countDown();
+                        } else if (all[i].read(sink.clear()) < 0) {
+                            all[i].close();
+                            all[i] = null;
+                        }
+                    } catch (IOException e) {
+                        all[i] = null;
+                    }
+                }
+                for (SocketChannel each : all) {
+                    try {
+                        if (each != null) {
+                            each.close();
+                        }
+                    } catch (IOException e) {
+                        // It is gone already.
+                    }
+                }
+            });
+            thread.start();
+        }
+
+        @Override
+        public void close() {
+            over = true;
+        }
+    }
+
+    /** Served in place of idle ones; a connection may be shut unread meanwhile. */
+    private static void served(InetSocketAddress address, String id) {
+        for (int i = 0; i < 20; i++) {
+            try (Bed.Client client = new Bed.Client(address)) {
+                if (client.ask(Bed.look(id + "-" + i)).status() == 200) {
+                    return;
+                }
+            } catch (IOException e) {
+                // Shut unread: once more.
+            }
+        }
+        throw new AssertionError("not served: " + id);
+    }
+
+    private static void served(InetSocketAddress address, Stub by) {
+        by.heads.clear();
+        for (int i = 0; by.heads.isEmpty(); i++) {
+            assertTrue(i < 2000, "never asked");
+            served(address, "to-" + i);
+        }
+    }
+
+    /** Idle clients fill the descriptors while discovery is down: what else needs one still gets it. */
+    @Test
+    void idleClientsLeaveDescriptorsForAllElse() throws Exception {
+        MultiThreadIoEventLoopGroup group = new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory());
+        try (Stub one = Stub.serving("x"); Stub two = Stub.serving("x")) {
+            InetSocketAddress address = freeAddress();
+            InetSocketAddress discovery = freeAddress();
+            ObjectNode json = Bed.json(one).put("listen", "127.0.0.1:" + address.getPort())
+                    .put("discovery", "127.0.0.1:" + discovery.getPort());
+            ((ObjectNode) json.get("limits")).put("sockets", SOCKETS);
+            before = "ulimit -n " + SOCKETS + "; ";
+            start("run", json);
+            awaitUp(address);
+            try (Idlers idlers = new Idlers(address)) {
+                assertTrue(idlers.full.await(10, TimeUnit.SECONDS), "each has come twice");
+                served(address, one);
+                try (DiscoveryStandin back = new DiscoveryStandin(group.next(), discovery, List.of(
+                        new Entry("s-0", one.address(), "a", "DRAINING", 0),
+                        new Entry("s-1", two.address(), "a", "SERVING", 0)))) {
+                    assertEquals(discovery, back.address());
+                    served(address, two);
+                    one.heads.clear();
+                    for (int i = 0; i < 10; i++) {
+                        served(address, "kept-" + i);
+                    }
+                    assertEquals(0, one.heads.size(), "the drain is kept");
+                    try (DiscoveryStandin other = new DiscoveryStandin(group.next(),
+                            new InetSocketAddress(InetAddress.getLoopbackAddress(), 0),
+                            List.of(new Entry("s-0", one.address(), "a", "SERVING", 0)))) {
+                        write(json.put("discovery", "127.0.0.1:" + other.address().getPort()).toString());
+                        hangUp();
+                        served(address, one);
+                    }
+                }
+            }
+            // Not destroyed: that would close what it has said.
+            signal("-TERM");
+            String err = new String(process.getErrorStream().readAllBytes(), StandardCharsets.UTF_8);
+            assertEquals(0, exit());
+            assertFalse(err.contains("Too many open files"), err);
+        } finally {
+            group.shutdownGracefully(0, 1, TimeUnit.SECONDS);
+        }
+    }
+
     @Test
     void badConfigurationEndsWithOneLineNamingTheKey() throws Exception {
         ObjectNode json = Bed.json();
