--- a/src/main/java/pondridge/http1/Frontend.java
+++ b/src/main/java/pondridge/http1/Frontend.java
@@ -517,7 +517,8 @@
 
     private static int size(HttpObject message) {
         int head = message instanceof HttpRequest request ? HEAD_BYTES + request.uri().length() : 0;
-        return PART_BYTES + head + (message instanceof HttpContent content ? content.content().readableBytes() : 0);
+        return PART_BYTES + head
+                + (message instanceof HttpContent content ? content.content().readableBytes() : 0);
     }
 
     private static HttpResponseStatus status(Throwable cause) {
