--- a/src/main/java/pondridge/platform/Discovery.java
+++ b/src/main/java/pondridge/platform/Discovery.java
@@ -118,6 +118,11 @@
         this.listener = listener;
     }
 
+    /** The version of the list that is known; on the loop, also while the listener is told of it. */
+    public long rev() {
+        return rev;
+    }
+
     /** Where lists are pushed, follows them from now on; else does nothing, since the module asks. */
     public void follow() {
         if (pushed) {
--- a/src/main/java/pondridge/settings/Section.java
+++ b/src/main/java/pondridge/settings/Section.java
@@ -44,6 +44,23 @@
         return value.asInt();
     }
 
+    /** Whole numbers, at least one; {@code absent} where the key is missing. */
+    public List<Integer> numbers(String key, List<Integer> absent, int least, int most) {
+        JsonNode value = value(key);
+        if (value.isMissingNode()) {
+            return absent;
+        }
+        List<Integer> numbers = new ArrayList<>();
+        for (JsonNode each : value) {
+            numbers.add(each.isIntegralNumber() && each.asLong() >= least && each.asLong() <= most
+                    ? each.asInt() : null);
+        }
+        if (!value.isArray() || numbers.isEmpty() || numbers.contains(null)) {
+            throw wrong(key, "a list of whole numbers from " + least + " to " + most, value);
+        }
+        return numbers;
+    }
+
     /** A duration in nanoseconds. */
     public long time(String key, String absent, String least, String most) {
         return measure(key, absent, least, most, TIMES, "a time with its unit (us, ms, s, min)");
