Measure with hollow sidecars what each more of them costs: bankflow scale FILE

Need: figures for 16,000 sidecars are slopes, and nothing here could hold more than some tens. Change: the room scale.

--- a/src/main/java/pondridge/cli/Bankflow.java
+++ b/src/main/java/pondridge/cli/Bankflow.java
@@ -8,6 +8,7 @@
 @Command(name = "bankflow", mixinStandardHelpOptions = true, version = "bankflow 0.1",
         description = "A gateway for requests that must not happen twice.",
         subcommands = {Check.class, Demo.class, DrillCommand.class, GatewayCommand.class, Plan.class,
+            ScaleCommand.class,
             Standin.class})
 public final class Bankflow {
     private Bankflow() { }
--- /dev/null
+++ b/src/main/java/pondridge/scale/Knowledge.java
@@ -0,0 +1,81 @@
+package pondridge.scale;
+
+import java.util.Arrays;
+import java.util.Map;
+import java.util.TreeMap;
+import org.HdrHistogram.Histogram;
+
+/**
+ * Who knows which version of the list, and how long after it was put that was. A follower that has a version
+ * has all before it, since later ones supersede them. Times in nanoseconds of any one clock, given as
+ * arguments; safe on any thread.
+ */
+public final class Knowledge {
+    private static final long LONGEST = 3_600_000_000L;
+
+    /**
+     * How long changes took, in milliseconds, over all pairs of a change and a follower.
+     *
+     * @param last until the slowest follower had the slowest change
+     */
+    public record Times(double p50, double p99, double last) { }
+
+    private final long[] has;
+    private final TreeMap<Long, Long> putAt = new TreeMap<>();
+    /** In microseconds. */
+    private Histogram took = new Histogram(LONGEST, 3);
+
+    /** Of so many followers, none of which knows anything. */
+    public Knowledge(int followers) {
+        has = new long[followers];
+        Arrays.fill(has, -1);
+    }
+
+    /** From now on counts anew, only what is put from now on. */
+    public synchronized void begin() {
+        putAt.clear();
+        took = new Histogram(LONGEST, 3);
+    }
+
+    /** A follower begins anew and knows nothing. */
+    public synchronized void forget(int follower) {
+        has[follower] = -1;
+    }
+
+    /** A version is put at the source now; before any follower can have it. */
+    public synchronized void put(long version, long now) {
+        putAt.put(version, now);
+    }
+
+    /** A follower's module has this version now. */
+    public synchronized void had(int follower, long version, long now) {
+        if (version > has[follower]) {
+            for (Map.Entry<Long, Long> each : putAt.subMap(has[follower], false, version, true).entrySet()) {
+                took.recordValue(Math.min(LONGEST, Math.max(0, now - each.getValue()) / 1_000));
+            }
+            has[follower] = version;
+            notifyAll();
+        }
+    }
+
+    /** How many followers don't have this version yet. */
+    public synchronized int missing(long version) {
+        return (int) Arrays.stream(has).filter(each -> each < version).count();
+    }
+
+    /** Waits until all have a version; false after so many milliseconds. */
+    public synchronized boolean await(long version, long limitMs) throws InterruptedException {
+        long left = limitMs;
+        // Woken by each that has more; looked at now and then, since counting them costs.
+        for (; left > 0 && missing(version) > 0; left -= 10) {
+            wait(10);
+        }
+        return missing(version) == 0;
+    }
+
+    /** Of all that was put since {@link #begin}; zeros where nobody had any of it. */
+    public synchronized Times times() {
+        return new Times(took.getValueAtPercentile(50) / 1e3, took.getValueAtPercentile(99) / 1e3,
+                took.getMaxValue() / 1e3);
+    }
+}
