--- a/src/test/java/pondridge/bench/Bench.java
+++ b/src/test/java/pondridge/bench/Bench.java
@@ -12,10 +12,11 @@
             case "store" -> new StoreBench().run();
             case "grpc" -> new GrpcBench().run();
             case "request-path" -> new RequestPathBench().run();
+            case "scale" -> new ScaleBench().run();
             case "gateway-soak" -> new GatewaySoak().run();
             default -> {
-                System.err.println("bench: expected -Dbench=http2, gateway, gateway-soak, grpc, store or "
-                        + "request-path");
+                System.err.println("bench: expected -Dbench=http2, gateway, gateway-soak, grpc, store, "
+                        + "request-path or scale");
                 System.exit(2);
             }
         }
