--- a/src/main/java/pondridge/control/FollowerState.java
+++ b/src/main/java/pondridge/control/FollowerState.java
@@ -25,7 +25,6 @@
     private final Hello who;
     private final int mostMarkers;
     private Holdings held;
-    private boolean needsWhole;
     private long heardAt;
     private boolean heard;
     private List<String> absent = List.of();
@@ -54,10 +53,9 @@
         return absent;
     }
 
-    /** How it begins at a server: with the version it has, unless that turned out to be wrong. */
+    /** How it begins at a server: with the version it has. */
     Hello hello() {
-        return new Hello(who.instance(), who.services(), who.passesOn(),
-                needsWhole ? Version.NONE : held.version());
+        return new Hello(who.instance(), who.services(), who.passesOn(), held.version());
     }
 
     /** How old what is known may be: since the source was heard, by however many relays; MAX for never. */
@@ -71,20 +69,17 @@
         if (update.version().compareTo(has) < 0) {
             return Verdict.OLDER;
         }
-        if (!update.whole() && (needsWhole || update.version().epoch() != has.epoch()
-                || update.from() > has.number())) {
-            return needsWhole ? Verdict.MISMATCH : Verdict.GAP;
+        if (!update.whole() && (update.version().epoch() != has.epoch() || update.from() > has.number())) {
+            return Verdict.GAP;
         }
         Holdings into = update.whole() ? new Holdings(mostMarkers) : held;
         Long after = into.digestAfter(update.changes());
         if (after == null || after != update.digest()) {
-            needsWhole = true;
             return Verdict.MISMATCH;
         }
         boolean news = update.whole() || !update.changes().isEmpty();
         into.apply(update.changes(), update.version(), update.whole() ? update.floor() : 0);
         held = into;
-        needsWhole = false;
         absent = update.absent();
         heardNow(update, now);
         return news ? Verdict.TAKEN : Verdict.BEAT;
--- a/src/test/java/pondridge/control/ControlModel.java
+++ b/src/test/java/pondridge/control/ControlModel.java
@@ -467,9 +467,10 @@
             }, of);
         }
 
-        void take(Update update, Call of, boolean first) {
+        void take(Update update, Call of, boolean first, boolean torn) {
             Version before = state.version();
             FollowerState.Verdict verdict = state.take(update, now);
+            check(torn || verdict != FollowerState.Verdict.MISMATCH, name + " finds a sound update wrong");
             check(state.version().compareTo(before) >= 0, name + " went back from " + before + " to "
                     + state.version());
             taken += verdict == FollowerState.Verdict.TAKEN ? 1 : 0;
@@ -533,23 +534,23 @@
                     sound.floor(), sound.changes().subList(1, sound.changes().size()), sound.absent(),
                     sound.digest(), sound.ageMs());
             long its = client.born;
-            send(toClient, () -> deliver(update, its, true), this);
+            send(toClient, () -> deliver(update, its, true, torn), this);
             if (chaos() && random.nextInt(10) == 0) {
                 // A repeat, or what is left of a call that is over: whenever it comes.
-                at(now + draw(10 * MS, 9 * SECOND), () -> deliver(update, its, false));
+                at(now + draw(10 * MS, 9 * SECOND), () -> deliver(update, its, false, torn));
             }
         }
 
-        private void deliver(Update update, long its, boolean first) {
-            if (client.born != its || first && over) {
+        private void deliver(Update update, long its, boolean first, boolean torn) {
+            if (first && (client.born != its || over)) {
                 return;
             }
             if (now < client.pausedUntil) {
                 toClient[0] = Math.max(toClient[0] + 1, client.pausedUntil);
-                at(toClient[0], () -> deliver(update, its, first));
+                at(toClient[0], () -> deliver(update, its, first, torn));
                 return;
             }
-            client.take(update, this, first);
+            client.take(update, this, first, torn);
         }
 
         void close() {
