--- a/src/main/java/pondridge/control/Codec.java
+++ b/src/main/java/pondridge/control/Codec.java
@@ -58,6 +58,11 @@
         return write(json -> json.writeStringField("error", problem));
     }
 
+    /** Only that there is somebody. */
+    static byte[] alive() {
+        return write(json -> json.writeBooleanField("alive", true));
+    }
+
     static byte[] ack(Ack ack) {
         return write(json -> {
             json.writeNumberField("k", ack.serial());
--- a/src/main/java/pondridge/control/ControlClient.java
+++ b/src/main/java/pondridge/control/ControlClient.java
@@ -19,6 +19,7 @@
 import java.util.concurrent.TimeUnit;
 import java.util.function.Supplier;
 import pondridge.Balancer.ListKind;
+import pondridge.core.Directory;
 import pondridge.core.Target;
 
 /**
@@ -26,7 +27,7 @@
  * version it has. What was known stays in force whatever happens. Has no thread of its own: all happens on
  * the loop, but {@link #start} and {@link #close}, which may be called anywhere.
  */
-public final class ControlClient implements AutoCloseable {
+public final class ControlClient implements AutoCloseable, Directory {
     private static final int CONNECT_MS = 1_000;
 
     /** Is told of what is new, on the loop. */
@@ -34,7 +35,8 @@
         /**
          * A version is in force.
          *
-         * @param kind whether the targets are all, or those that changed
+         * @param kind whether the targets are all, or those that changed; failed, with none, where the list
+         * was asked for and what is known is older than {@code stale}
          * @param settings by service, a slash and name; null for one that has gone
          */
         void applied(Version version, ListKind kind, List<Target> targets, Map<String, String> settings);
@@ -147,10 +149,26 @@
         }, Math.max(0, nanos), TimeUnit.NANOSECONDS);
     }
 
-    private void tell(Update update) {
+    /** Changes are told in any case; the word that nothing has changed is given at once, if it may be. */
+    @Override
+    public void watch(boolean on) {
+        if (on && age() <= settings.stale()) {
+            tell(ListKind.DELTA, List.of());
+        }
+    }
+
+    /** Tells all that is known, from memory. */
+    @Override
+    public void fetch() {
+        boolean fresh = age() <= settings.stale();
+        tell(fresh ? ListKind.FULL : ListKind.FAILED, fresh ? state.held().since(-1, List.of(), false)
+                : List.of());
+    }
+
+    private void tell(ListKind kind, List<Change> changes) {
         List<Target> targets = new ArrayList<>();
         Map<String, String> others = new LinkedHashMap<>();
-        for (Change each : update.changes()) {
+        for (Change each : changes) {
             Resource held = each.gone() ? null : state.held().get(each.service(), each.name());
             if (each.name().startsWith("@")) {
                 others.put(each.service() + '/' + each.name(), held == null ? null : held.body());
@@ -159,21 +177,21 @@
             try {
                 targets.add(Targets.target(each.name(), each.state(), held == null ? "" : held.body()));
             } catch (IllegalArgumentException e) {
-                events.told("entry_passed_over", call.relay, e.getMessage());
+                events.told("entry_passed_over", each.service(), e.getMessage());
             }
         }
         try {
-            listener.applied(state.version(), update.whole() ? ListKind.FULL : ListKind.DELTA, targets, others);
+            listener.applied(state.version(), kind, targets, others);
         } catch (RuntimeException e) {
-            events.told("listener_failed", call.relay, e.toString());
+            events.told("listener_failed", "", e.toString());
         }
     }
 
     /** One call, until it ends. */
     private final class Call extends Frames {
         private final String relay;
-        private final long begun = System.nanoTime();
-        private long heard = begun;
+        private long heard = System.nanoTime();
+        private long begun;
         private long homeAt = Long.MAX_VALUE;
         private Channel channel;
         private Future<?> timer;
@@ -216,7 +234,7 @@
                 long now = System.nanoTime();
                 if (now - heard > settings.silence()) {
                     end("silent");
-                } else if (now - begun > settings.stale() && state.age(now) > settings.stale()) {
+                } else if (answered && now - begun > settings.stale() && state.age(now) > settings.stale()) {
                     answered = false;
                     end("its word is old");
                 } else if (now > homeAt) {
@@ -256,14 +274,18 @@
                 end("refused: " + node.path("error").asText());
                 return;
             }
-            Update update = Codec.readUpdate(node);
             long now = System.nanoTime();
             heard = now;
+            if (node.has("alive")) {
+                return;
+            }
+            Update update = Codec.readUpdate(node);
             List<String> absent = state.absent();
             Version before = state.version();
             FollowerState.Verdict verdict = state.take(update, now);
             if (!answered) {
                 answered = true;
+                begun = now;
                 homeAt = choice.homeward(relay, now);
                 events.told("following", relay, "from " + before);
             }
@@ -272,7 +294,7 @@
                 case TAKEN -> {
                     wholes += update.whole() ? 1 : 0;
                     differences += update.whole() ? 0 : 1;
-                    tell(update);
+                    tell(update.whole() ? ListKind.FULL : ListKind.DELTA, update.changes());
                 }
                 case GAP, MISMATCH -> events.told("refused", relay, (verdict == FollowerState.Verdict.GAP
                         ? "a difference since " + update.version().epoch() + '.' + update.from()
--- a/src/main/java/pondridge/control/ControlServer.java
+++ b/src/main/java/pondridge/control/ControlServer.java
@@ -149,6 +149,9 @@
             if (step.update() != null) {
                 serving.sent(id, send(channel, Codec.update(step.update()), traffic));
             }
+            if (step.alive()) {
+                send(channel, Codec.alive(), traffic);
+            }
             timer = loop.schedule(this::pump, step.at() - now, TimeUnit.NANOSECONDS);
         }
 
--- a/src/main/java/pondridge/control/ControlSettings.java
+++ b/src/main/java/pondridge/control/ControlSettings.java
@@ -93,6 +93,7 @@
                 feed.equals("none") ? null : folder.resolve(feed), above, services,
                 new Serving.Limits(section.size("bytes_per_second", "2KiB", "64B", "1MiB"),
                         section.size("burst", "16KiB", "1KiB", "64MiB"),
+                        section.size("relay_bytes_per_second", "1MiB", "1KiB", "64MiB"),
                         section.fraction("joins_per_second", 100, 0.1, 1e6),
                         section.number("most_watchers", 1_500, 1, 100_000),
                         section.time("gap", "1s", "0ms", "1min"), beat,
--- a/src/main/java/pondridge/control/RelayChoice.java
+++ b/src/main/java/pondridge/control/RelayChoice.java
@@ -47,6 +47,14 @@
         order.forEach(each -> seen.put(each, new Seen()));
     }
 
+    /**
+     * A share of a time. Danger: not by the hash of the order; that of a first choice is the highest of all,
+     * so that all who lost it would come in the same part of the time.
+     */
+    private double phase(String relay) {
+        return Digest.share(relay, instance);
+    }
+
     /** The first in order that is not left alone, else the one whose pause ends first. */
     Dial next(long now) {
         String best = null;
@@ -71,19 +79,20 @@
         Seen its = seen.get(relay);
         long pause = Math.min(limits.longestPause, limits.pause << Math.min(16, its.failures));
         its.failures++;
-        its.until = now + pause / 2 + (long) (Digest.share(instance, relay) * pause / 2);
+        its.until = now + pause / 2 + (long) (phase(relay) * pause / 2);
     }
 
     /** A call that was good has ended: it is left alone, and the next is dialled at this time. */
     long lost(String relay, long now) {
-        failed(relay, now);
-        return now + (long) (Digest.share(instance, relay) * limits.spread);
+        long at = now + (long) (phase(relay) * limits.spread);
+        failed(relay, at);
+        return at;
     }
 
     /** When it is to go back to its first choice from this one; MAX where it is there. */
     long homeward(String relay, long now) {
         return relay.equals(order.get(0)) ? Long.MAX_VALUE
-                : now + limits.home + (long) (Digest.share(instance, relay) * limits.home);
+                : now + limits.home + (long) (phase(relay) * limits.home);
     }
 
     /** It goes home: the first choice is dialled now, whatever it was before. */
--- a/src/main/java/pondridge/control/Serving.java
+++ b/src/main/java/pondridge/control/Serving.java
@@ -18,6 +18,7 @@
      *
      * @param bytesPerSecond for each watcher, on the mean
      * @param burst bytes that a watcher may get at once, beyond it
+     * @param relayBytesPerSecond the same for a relay, which may get a second's worth at once
      * @param joinsPerSecond first answers of all watchers together; so N that come at once are all answered
      * after N / this
      * @param mostWatchers at a time
@@ -25,17 +26,22 @@
      * @param beat without news a word is given so often
      * @param ackWithin an update not acknowledged by then ends the call
      */
-    record Limits(double bytesPerSecond, double burst, double joinsPerSecond, int mostWatchers, long gap,
-            long beat, long ackWithin) { }
+    record Limits(double bytesPerSecond, double burst, double relayBytesPerSecond, double joinsPerSecond,
+            int mostWatchers, long gap, long beat, long ackWithin) { }
 
     /**
      * What is to be done for a watcher.
      *
      * @param update to be sent now; null for none
+     * @param alive whether it is to be told only that there is somebody: it waits for its turn
      * @param at when to ask again
      * @param end why the call is to be ended; null for not
      */
-    record Step(Update update, long at, String end) { }
+    record Step(Update update, boolean alive, long at, String end) {
+        Step(Update update, long at, String end) {
+            this(update, false, at, end);
+        }
+    }
 
     private static final class Watcher {
         private final Hello hello;
@@ -46,12 +52,14 @@
         private long serial;
         private boolean answered;
         private long sentAt;
+        private long wordAt;
         private Sums below = Sums.NONE;
 
-        Watcher(Hello hello, Pace pace, long joinAt) {
+        Watcher(Hello hello, Pace pace, long joinAt, long now) {
             this.hello = hello;
             this.pace = pace;
             this.joinAt = joinAt;
+            this.wordAt = now;
             this.has = hello.version();
         }
     }
@@ -103,15 +111,14 @@
     /**
      * A watcher has come, by a call with a new id.
      *
-     * @return the id of its former call, which is over; -1 for none
+     * @return the id of its former call, which is to be ended; -1 for none
      */
     long joined(long id, Hello hello, long now) {
         Long former = byInstance.put(hello.instance(), id);
-        if (former != null) {
-            watchers.remove(former);
-        }
         nextJoin = Math.max(now, nextJoin);
-        watchers.put(id, new Watcher(hello, new Pace(limits.bytesPerSecond, limits.burst, now), nextJoin));
+        Pace pace = hello.passesOn() ? new Pace(limits.relayBytesPerSecond, limits.relayBytesPerSecond, now)
+                : new Pace(limits.bytesPerSecond, limits.burst, now);
+        watchers.put(id, new Watcher(hello, pace, nextJoin, now));
         nextJoin += (long) (1e9 / limits.joinsPerSecond);
         return former == null ? -1 : former;
     }
@@ -140,12 +147,16 @@
             from = Math.max(from, watcher.sentAt + (news(watcher) ? limits.gap : limits.beat));
         }
         if (now < from) {
-            return new Step(null, from, null);
+            // Who waits in silence would leave, and be the last in the next queue.
+            boolean alive = now - watcher.wordAt >= limits.beat;
+            watcher.wordAt = alive ? now : watcher.wordAt;
+            return new Step(null, alive, Math.min(from, watcher.wordAt + limits.beat), null);
         }
         Update update = update(watcher, now);
         watcher.inFlight = true;
         watcher.answered = true;
         watcher.sentAt = now;
+        watcher.wordAt = now;
         return new Step(update, now + limits.ackWithin, null);
     }
 
--- a/src/main/java/pondridge/sidecar/Main.java
+++ b/src/main/java/pondridge/sidecar/Main.java
@@ -14,6 +14,7 @@
 import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
 import pondridge.Balancer.RequestClass;
+import pondridge.control.Following;
 import pondridge.core.Engine;
 import pondridge.core.Transport;
 import pondridge.http1.Frontend;
@@ -128,8 +129,12 @@
         Discovery discovery = new Discovery(loop, config.discovery(), config.pushed(),
                 config.known().rev(), engine::listed);
         Frontend frontend = new Frontend(engine, config.options(), config.mostClients());
-        engine.start(discovery, config.known().targets());
-        discovery.follow();
+        if (settings != null && settings.control() != null) {
+            Following.begin(loop, engine, settings.control(), config.known().targets());
+        } else {
+            engine.start(discovery, config.known().targets());
+            discovery.follow();
+        }
         SecondFront second = settings == null || settings.grpc() == null ? SecondFront.NONE
                 : new SecondFront.Grpc(loop, settings.grpc(), config, engine);
         // Only where discovery is; all else stays as it was at the start.
--- a/src/test/java/pondridge/cli/BankflowTest.java
+++ b/src/test/java/pondridge/cli/BankflowTest.java
@@ -34,6 +34,7 @@
     void goodSettingsAreGood() {
         assertEquals("", errors(0, "check", "deploy/bankflow.toml"));
         assertEquals("", errors(0, "check", "deploy/gateway.toml"));
+        assertEquals("", errors(0, "check", "deploy/control.toml"));
     }
 
     @Test
