--- a/src/main/java/pondridge/cli/ControlCommand.java
+++ b/src/main/java/pondridge/cli/ControlCommand.java
@@ -42,9 +42,9 @@
                 case RELAY -> new ControlRelay(loop, settings, events, new Traffic(), new Traffic()).start()
                         .get();
                 case FOLLOWER -> {
-                    new ControlClient(loop, settings, (version, kind, targets, others) -> events.told("applied",
-                            "", version + " " + kind + ' ' + targets.size() + " entries " + others.size()
-                            + " settings"), events, new Traffic()).start();
+                    new ControlClient(loop, settings, (version, kind, targets, others) -> events.told(
+                            "applied", "", version + " " + kind + ' ' + targets.size()
+                            + " entries " + others.size() + " settings"), events, new Traffic()).start();
                     yield null;
                 }
                 case OFF -> throw new SettingsException(file.toString(), "control.role",
--- a/src/main/java/pondridge/control/Codec.java
+++ b/src/main/java/pondridge/control/Codec.java
@@ -68,7 +68,8 @@
             json.writeNumberField("k", ack.serial());
             json.writeNumberField("e", ack.version().epoch());
             json.writeNumberField("n", ack.version().number());
-            if (ack.verdict() == FollowerState.Verdict.GAP || ack.verdict() == FollowerState.Verdict.MISMATCH) {
+            if (ack.verdict() == FollowerState.Verdict.GAP
+                    || ack.verdict() == FollowerState.Verdict.MISMATCH) {
                 json.writeStringField("v", ack.verdict().name());
             }
             if (ack.sums().count() > 0) {
--- a/src/main/java/pondridge/control/ControlSettings.java
+++ b/src/main/java/pondridge/control/ControlSettings.java
@@ -103,7 +103,8 @@
                         section.time("longest_pause", "8s", "1ms", "60min"),
                         section.time("home", "5min", "10ms", "60min")),
                 silence, stale, section.time("fold", "500ms", "10ms", "1min"),
-                section.time("report", "500ms", "10ms", "1min"), section.number("markers", 8_192, 16, 1 << 20),
+                section.time("report", "500ms", "10ms", "1min"),
+                section.number("markers", 8_192, 16, 1 << 20),
                 section.number("entries", 65_536, 1, 1 << 20),
                 section.size("message", "32MiB", "64KiB", "256MiB"));
     }
--- a/src/main/java/pondridge/control/ControlSource.java
+++ b/src/main/java/pondridge/control/ControlSource.java
@@ -55,7 +55,8 @@
 
     /** Begins; gives where it listens. */
     public CompletableFuture<InetSocketAddress> start() {
-        loop.scheduleWithFixedDelay(this::measure, settings.report(), settings.report(), TimeUnit.NANOSECONDS);
+        loop.scheduleWithFixedDelay(this::measure, settings.report(), settings.report(),
+                TimeUnit.NANOSECONDS);
         if (settings.feed() != null) {
             files.scheduleWithFixedDelay(this::feed, 0, LOOK_MS, TimeUnit.MILLISECONDS);
         }
--- a/src/main/java/pondridge/control/Frames.java
+++ b/src/main/java/pondridge/control/Frames.java
@@ -37,7 +37,8 @@
     abstract void bad(String problem);
 
     void addTo(ChannelPipeline pipeline) {
-        pipeline.addLast(new LengthFieldBasedFrameDecoder(LONGEST_FRAME + LENGTH, 0, LENGTH, 0, LENGTH), this);
+        pipeline.addLast(new LengthFieldBasedFrameDecoder(LONGEST_FRAME + LENGTH, 0, LENGTH, 0, LENGTH),
+                this);
     }
 
     /** Sends one; gives its size with all frames. */
--- a/src/main/java/pondridge/control/Serving.java
+++ b/src/main/java/pondridge/control/Serving.java
@@ -9,8 +9,8 @@
 
 /**
  * The watchers of a source or a relay: who is told what, and when. For each there is at most one update that
- * it has not acknowledged; what happens meanwhile is folded into the next. So a slow one costs one message and
- * holds up nobody. Times in nanoseconds; no I/O, not for several threads.
+ * it has not acknowledged; what happens meanwhile is folded into the next. So a slow one costs one message
+ * and holds up nobody. Times in nanoseconds; no I/O, not for several threads.
  */
 final class Serving {
     /**
--- a/src/main/java/pondridge/control/SourceFile.java
+++ b/src/main/java/pondridge/control/SourceFile.java
@@ -15,8 +15,8 @@
 /**
  * The source's durable state: one line with the length and CRC-32C of what follows, then the whole as relays
  * get it. Written beside, forced to the disk and moved into place, so a crash leaves the old or the new. One
- * that is torn all the same is refused and never passed over: its numbers may have been told. On one thread at
- * a time.
+ * that is torn all the same is refused and never passed over: its numbers may have been told. On one thread
+ * at a time.
  */
 final class SourceFile {
     private static final String MAGIC = "bankflow-control-1";
--- a/src/test/java/pondridge/control/ControlIT.java
+++ b/src/test/java/pondridge/control/ControlIT.java
@@ -16,10 +16,10 @@
 import org.junit.jupiter.api.io.TempDir;
 import pondridge.demo.Child;
 
-/** Processes of the shipped program: a relay is killed, another one stopped, the source killed and started. */
+/** Processes of the shipped program: a relay is killed, another one stopped, the source killed. */
 class ControlIT {
-    private static final String TIMES = "beat = \"300ms\"\nsilence = \"1500ms\"\nstale = \"6s\"\nfold = \"50ms\"\n"
-            + "gap = \"50ms\"\nspread = \"300ms\"\nack_within = \"3s\"\nreport = \"100ms\"\n"
+    private static final String TIMES = "beat = \"300ms\"\nsilence = \"1500ms\"\nstale = \"6s\"\n"
+            + "fold = \"50ms\"\ngap = \"50ms\"\nspread = \"300ms\"\nack_within = \"3s\"\nreport = \"100ms\"\n"
             + "bytes_per_second = \"64KiB\"\n";
     private final List<Child> children = new ArrayList<>();
     private final List<Child.Line> lines = new CopyOnWriteArrayList<>();
@@ -33,7 +33,8 @@
 
     private Child start(String name, String role, String more) throws IOException {
         Path file = folder.resolve(name + ".toml");
-        Files.writeString(file, "[control]\nrole = \"" + role + "\"\ninstance = \"" + name + "\"\n" + TIMES + more);
+        Files.writeString(file, "[control]\nrole = \"" + role + "\"\ninstance = \"" + name + "\"\n" + TIMES
+                + more);
         Child child = Child.start(name, "pondridge.cli.Bankflow", List.of("control", "--settings",
                 file.toString(), "--with-parent"), Map.of(), lines::add);
         children.add(child);
@@ -51,8 +52,8 @@
             text.append("{\"service\":\"svc").append(i % 5).append("\",\"name\":\"u").append(i)
                     .append("\",\"body\":\"127.0.0.1:").append(1_000 + i).append(" z1 m1 0 1 0\"}\n");
         }
-        text.append("{\"service\":\"svc1\",\"name\":\"@version\",\"state\":\"SET\",\"body\":\"").append(version)
-                .append("\"}\n");
+        text.append("{\"service\":\"svc1\",\"name\":\"@version\",\"state\":\"SET\",\"body\":\"")
+                .append(version).append("\"}\n");
         Path beside = folder.resolve("feed.new");
         Files.writeString(beside, text);
         Files.move(beside, folder.resolve("feed"), StandardCopyOption.ATOMIC_MOVE,
@@ -81,8 +82,8 @@
             relays[i] = start("r" + i, "relay", "listen = \"127.0.0.1:0\"\nabove = [\"" + sourceAt + "\"]\n");
             at[i] = address(relays[i]);
         }
-        Child follower = start("f1", "follower", "services = [\"svc1\"]\nabove = [\"" + at[0] + "\", \"" + at[1]
-                + "\"]\n");
+        Child follower = start("f1", "follower", "services = [\"svc1\"]\nabove = [\"" + at[0] + "\", \""
+                + at[1] + "\"]\n");
         assertTrue(at(follower, "2").endsWith("FULL 20 entries 1 settings"));
 
         int first = relayOf(follower, Long.MIN_VALUE).equals(at[0]) ? 0 : 1;
--- a/src/test/java/pondridge/control/ControlModel.java
+++ b/src/test/java/pondridge/control/ControlModel.java
@@ -14,9 +14,9 @@
 /**
  * A source, three relays (one of them below the others) and followers, all with the real deciding classes, in
  * virtual time: the same seed plays the same run. For a minute calls break or fall silent, updates come
- * twice, late or torn, readers stand still, and each part restarts, the source also within a write and without
- * its history. Then all is whole again, and by a stated time all have to have the same. Everything taken over
- * is held against what the source had at that version.
+ * twice, late or torn, readers stand still, and each part restarts, the source also within a write and
+ * without its history. Then all is whole again, and by a stated time all have to have the same. Everything
+ * taken over is held against what the source had at that version.
  */
 final class ControlModel {
     static final long MS = 1_000_000;
@@ -28,8 +28,8 @@
     private static final int SERVICES = 12;
     private static final long SILENCE = 5 * SECOND;
     private static final long STALE = 6 * SECOND;
-    private static final Serving.Limits SERVING = new Serving.Limits(300, 1_500, 400, 5, 40, 400 * MS, 2 * SECOND,
-            4 * SECOND);
+    private static final Serving.Limits SERVING = new Serving.Limits(300, 1_500, 400, 5, 40, 400 * MS,
+            2 * SECOND, 4 * SECOND);
     private static final RelayChoice.Limits CHOICE = new RelayChoice.Limits(2 * SECOND, SECOND, 8 * SECOND,
             20 * SECOND);
 
@@ -521,7 +521,8 @@
         void take(Update update, Call of, boolean first, Fate fate) {
             Version before = state.version();
             FollowerState.Verdict verdict = state.take(update, now);
-            check(fate.torn || wrong || fate.wrong || verdict != FollowerState.Verdict.MISMATCH, name + " finds a sound update wrong");
+            check(fate.torn || wrong || fate.wrong || verdict != FollowerState.Verdict.MISMATCH,
+                    name + " finds a sound update wrong");
             check(state.version().compareTo(before) >= 0, name + " went back from " + before + " to "
                     + state.version());
             taken += verdict == FollowerState.Verdict.TAKEN ? 1 : 0;
@@ -607,9 +608,9 @@
             boolean wrong = torn && client.relay == null && random.nextInt(3) == 0;
             Fate fate = new Fate(torn && !wrong, wrong, server == source ? now
                     : ((Relay) server).client.heardOf, now);
-            Update update = !torn ? sound : new Update(sound.serial(), sound.version(), sound.whole(), sound.from(),
-                    sound.floor(), sound.changes().subList(1, sound.changes().size()), sound.absent(),
-                    wrong ? wrongDigest(sound) : sound.digest(), sound.ageMs());
+            Update update = !torn ? sound : new Update(sound.serial(), sound.version(), sound.whole(),
+                    sound.from(), sound.floor(), sound.changes().subList(1, sound.changes().size()),
+                    sound.absent(), wrong ? wrongDigest(sound) : sound.digest(), sound.ageMs());
             long its = client.born;
             send(toClient, () -> deliver(update, its, true, fate), this);
             if (chaos() && random.nextInt(10) == 0) {
--- a/src/test/java/pondridge/control/ControlPartsTest.java
+++ b/src/test/java/pondridge/control/ControlPartsTest.java
@@ -24,7 +24,8 @@
     private static final long SECOND = 1_000_000_000;
     private static final RelayChoice.Limits CHOICE =
             new RelayChoice.Limits(2 * SECOND, SECOND / 2, 8 * SECOND, 60 * SECOND);
-    private static final Serving.Limits SERVING = new Serving.Limits(2_048, 16_384, 1e6, 100, 10, 0, SECOND, SECOND);
+    private static final Serving.Limits SERVING = new Serving.Limits(2_048, 16_384, 1e6, 100, 10, 0, SECOND,
+            SECOND);
 
     @Test
     void namesComeBackAndMakeSenseOrAreRefused() {
@@ -46,8 +47,8 @@
             Names.pack(List.copyOf(names)).forEach(each -> back.addAll(Names.unpack(each)));
             assertEquals(List.copyOf(names), back.stream().sorted().toList(), "round " + round);
         }
-        for (String each : List.of("", "u+1", "u1+0", "u1+1*0", "u1+9", "u1+x", "u000000001+1*999999999", "a b",
-                "u1+1*", "+1")) {
+        for (String each : List.of("", "u+1", "u1+0", "u1+1*0", "u1+9", "u1+x", "u000000001+1*999999999",
+                "a b", "u1+1*", "+1")) {
             assertThrows(IllegalArgumentException.class, () -> Names.unpack(each), each);
         }
     }
@@ -200,20 +201,23 @@
     @Test
     void aBadLineOfTheFeedIsNamed(@TempDir Path folder) throws IOException {
         Path path = folder.resolve("feed");
-        Files.writeString(path, "{\"service\":\"a\",\"name\":\"u1\",\"body\":\"x\"}\n\n{\"service\":\"a b\"}\n");
+        Files.writeString(path, "{\"service\":\"a\",\"name\":\"u1\","
+                + "\"body\":\"x\"}\n\n{\"service\":\"a b\"}\n");
         String said = assertThrows(IOException.class, () -> Feed.read(path)).getMessage();
         assertTrue(said.startsWith(path + ": line 3: service: expected 1 to 64 letters"), said);
     }
 
     @Test
     void settingsAreOffByDefaultAndNameTheirMistakes(@TempDir Path folder) {
-        assertEquals(ControlSettings.Role.OFF, ControlSettings.of(SettingsFile.parse("t", ""), folder).role());
+        assertEquals(ControlSettings.Role.OFF,
+                ControlSettings.of(SettingsFile.parse("t", ""), folder).role());
         Map<String, String> bad = Map.of("role = \"source\"\n", "listen", "role = \"relay\"\nlisten = "
                 + "\"127.0.0.1:1\"\n", "above", "role = \"follower\"\nabove = [\"x:1\"]\n", "above",
-                "instance = \"a b\"\n", "instance", "silence = \"3s\"\n", "silence", "stale = \"3\"\n", "stale");
+                "instance = \"a b\"\n", "instance", "silence = \"3s\"\n", "silence", "stale = \"3\"\n",
+                "stale");
         bad.forEach((text, key) -> {
-            String said = assertThrows(SettingsException.class, () -> ControlSettings.of(SettingsFile.parse("t",
-                    "[control]\n" + text), folder), text).getMessage();
+            String said = assertThrows(SettingsException.class, () -> ControlSettings.of(SettingsFile.parse(
+                    "t", "[control]\n" + text), folder), text).getMessage();
             assertTrue(said.contains("control." + key), said);
         });
     }
--- a/src/test/java/pondridge/control/ControlTest.java
+++ b/src/test/java/pondridge/control/ControlTest.java
@@ -128,7 +128,8 @@
 
         Relay(String name, InetSocketAddress above) throws Exception {
             relay = new ControlRelay(loop, settings("relay", "instance = \"" + name
-                    + "\"\nlisten = \"127.0.0.1:0\"\nabove = [" + text(above) + "]\n", folder), events, up, down);
+                    + "\"\nlisten = \"127.0.0.1:0\"\nabove = [" + text(above) + "]\n", folder), events, up,
+                    down);
             open.add(relay);
             at = relay.start().get(LIMIT_S, TimeUnit.SECONDS);
             await(name + " has all", () -> relay.client().version().equals(source.version()));
@@ -240,9 +241,9 @@
             await("committed", () -> source.version().number() > number);
         }
         long before = follower.traffic.bytesIn();
-        ControlRelay again = new ControlRelay(loop, settings("relay", "instance = \"r1\"\nlisten = \"127.0.0.1:"
-                + at.getPort() + "\"\nabove = [" + text(sourceAt) + "]\n", folder), events, new Traffic(),
-                new Traffic());
+        ControlRelay again = new ControlRelay(loop, settings("relay", "instance = \"r1\"\nlisten = \""
+                + "127.0.0.1:" + at.getPort() + "\"\nabove = [" + text(sourceAt) + "]\n", folder), events,
+                new Traffic(), new Traffic());
         open.add(again);
         again.start().get(LIMIT_S, TimeUnit.SECONDS);
         await("it is back", () -> follower.inForce() && follower.client.relay() != null);
@@ -316,10 +317,12 @@
                 List.of(), Long.MAX_VALUE, 0)).length;
         int beat = Codec.update(new Update(99, toRelay.version(), false, number, 0, List.of(), List.of(),
                 Long.MAX_VALUE, 12)).length + 5;
-        int ack = Codec.ack(new Ack(99, toRelay.version(), FollowerState.Verdict.TAKEN, Sums.NONE)).length + 5;
-        int toFollower = Codec.update(new Update(9, toRelay.version(), false, number, 0, toRelay.changes().stream()
-                .filter(each -> services.contains(each.service())).map(each -> new Change(each.service(),
-                each.name(), each.state(), null, 0, 0)).toList(), List.of(), Long.MAX_VALUE, 12)).length + 5;
+        int ack = Codec.ack(new Ack(99, toRelay.version(), FollowerState.Verdict.TAKEN, Sums.NONE)).length
+                + 5;
+        int toFollower = Codec.update(new Update(9, toRelay.version(), false, number, 0, toRelay.changes()
+                .stream().filter(each -> services.contains(each.service())).map(each -> new Change(
+                each.service(), each.name(), each.state(), null, 0, 0)).toList(), List.of(), Long.MAX_VALUE,
+                12)).length + 5;
         long mine = lost.stream().limit(1_230).filter(each -> services.contains(each.service())).count();
         System.out.println("control: follower_whole=" + whole + " relay_whole=" + relayWhole
                 + " zone_to_relay=" + perService + " zone_in_one_service=" + oneService + " zone_to_follower="
@@ -376,9 +379,9 @@
                 StandardCharsets.UTF_8))).contains("instance: expected 1 to 64 letters"));
         Follower follower = new Follower("f1", 2, sourceAt);
         follower.services.add("nothere");
-        ControlClient lost = new ControlClient(loop, settings("follower", "above = [" + text(sourceAt) + "]\n",
-                folder).as("f2", List.of("svc1", "nothere")), (version, kind, targets, others) -> { }, events,
-                new Traffic());
+        ControlClient lost = new ControlClient(loop, settings("follower", "above = [" + text(sourceAt)
+                + "]\n", folder).as("f2", List.of("svc1", "nothere")),
+                (version, kind, targets, others) -> { }, events, new Traffic());
         open.add(lost);
         lost.start();
         await("what is not there is named", () -> told.stream().anyMatch(each -> each.startsWith("not_there")
