Say which version has what was put, and how many wholes and differences were sent

Need: whoever measures how long a change takes must know which commit it went into, since changes of one moment fold, and must tell wholes from differences.

Change: ControlSource.put gives a future that is completed with the version once it is durable and before a watcher is told; where nothing changes, with the version in force; a commit that could not be written carries its puts to the next. ControlSource and ControlRelay tell the wholes and differences they have sent.

Not run: ControlTest on this.

--- a/src/main/java/pondridge/control/ControlRelay.java
+++ b/src/main/java/pondridge/control/ControlRelay.java
@@ -42,6 +42,16 @@
         return server.serving().sums();
     }
 
+    /** Updates sent that were the whole; on the loop. */
+    public long wholes() {
+        return server.serving().wholes();
+    }
+
+    /** Updates sent that were a difference; on the loop. */
+    public long differences() {
+        return server.serving().differences();
+    }
+
     @Override
     public void close() {
         client.close();
--- a/src/main/java/pondridge/control/ControlSource.java
+++ b/src/main/java/pondridge/control/ControlSource.java
@@ -5,6 +5,7 @@
 import java.net.InetSocketAddress;
 import java.nio.file.Files;
 import java.nio.file.attribute.FileTime;
+import java.util.ArrayList;
 import java.util.Collection;
 import java.util.HashSet;
 import java.util.List;
@@ -33,6 +34,9 @@
         thread.setDaemon(true);
         return thread;
     });
+    /** Of puts that are in no commit yet, and of those in the one that is being written. */
+    private List<CompletableFuture<Version>> asked = new ArrayList<>();
+    private List<CompletableFuture<Version>> sealed = new ArrayList<>();
     private boolean planned;
     private FileTime feedOf;
 
@@ -63,8 +67,13 @@
         return server.listen(settings.listen());
     }
 
-    /** What is new of some keys; all in one call go into one commit. On any thread. */
-    public void put(Collection<Resource> resources) {
+    /**
+     * What is new of some keys; all in one call go into one commit. On any thread.
+     *
+     * @return the version that has it, told on the loop when it is durable and before any watcher has it
+     */
+    public CompletableFuture<Version> put(Collection<Resource> resources) {
+        CompletableFuture<Version> durable = new CompletableFuture<>();
         loop.execute(() -> {
             for (Resource each : resources) {
                 try {
@@ -73,8 +82,20 @@
                     events.told("not_taken", "", e.getMessage());
                 }
             }
+            asked.add(durable);
+            settle();
             plan();
         });
+        return durable;
+    }
+
+    /** Where nothing is to be committed, what is asked for is there already. */
+    private void settle() {
+        if (state.pending() == 0) {
+            List<CompletableFuture<Version>> done = asked;
+            asked = new ArrayList<>();
+            done.forEach(each -> each.complete(state.held().version()));
+        }
     }
 
     private void feed() {
@@ -112,7 +133,11 @@
     private void commit() {
         planned = false;
         Holdings draft = state.due() < Long.MAX_VALUE ? state.seal() : null;
-        if (draft != null) {
+        if (draft == null) {
+            settle();
+        } else {
+            sealed = asked;
+            asked = new ArrayList<>();
             files.execute(() -> {
                 IOException problem = null;
                 try {
@@ -130,11 +155,14 @@
         if (failed == null) {
             state.written();
             spread.committed(draft.version(), System.nanoTime());
+            sealed.forEach(each -> each.complete(draft.version()));
             server.changed();
         } else {
             events.told("not_written", "", settings.stateFile() + ": " + failed);
             state.failed(System.nanoTime());
+            asked.addAll(0, sealed);
         }
+        sealed = new ArrayList<>();
         plan();
     }
 
@@ -166,6 +194,16 @@
         return server.serving().sums();
     }
 
+    /** Updates sent that were the whole; on the loop. */
+    public long wholes() {
+        return server.serving().wholes();
+    }
+
+    /** Updates sent that were a difference; on the loop. */
+    public long differences() {
+        return server.serving().differences();
+    }
+
     /** The longest that a commit took to be in force everywhere, in nanoseconds; -1 for none. On the loop. */
     public long longestSpread() {
         return spread.longest();
