Play the scale run through relays, too: way = "control", scale/relays.toml

Need: what a list costs through one source and relays has to be measured as the platform's discovery is, by the same cases, lines and slopes.

Change: ControlWay behind the seam: a source, relays with a thread each, and a ControlClient at each hollow sidecar, which follows all services or a few of them. The plan chooses the way, relays, services and the section [control]; source -> relays and relays -> followers are counted and timed apart. New: source-killed, and an outage whose change comes right before it. Killed is the first relay; silent is the first relay, its thread standing still; a cut region has doors of its own. Real sidecars follow discovery alone, so a control run has none. Knowledge leaves out who follows nothing of what has changed.

--- a/src/main/java/pondridge/cli/ScaleCommand.java
+++ b/src/main/java/pondridge/cli/ScaleCommand.java
@@ -34,7 +34,7 @@
         }
         PrintWriter out = spec.commandLine().getOut();
         out.println("seed " + plan.seed());
-        ScaleReport report = new ScaleRun(plan, ScaleRun.Source.DISCOVERY, line -> {
+        ScaleReport report = new ScaleRun(plan, ScaleRun.Source.PLANNED, line -> {
             out.println(line);
             out.flush();
         }).play();
--- a/src/main/java/pondridge/scale/DiscoveryWay.java
+++ b/src/main/java/pondridge/scale/DiscoveryWay.java
@@ -39,7 +39,8 @@
     }
 
     @Override
-    public Link attach(EventLoop loop, boolean inRegion, BiConsumer<ListKind, List<Target>> listener) {
+    public Link attach(int follower, EventLoop loop, boolean inRegion,
+            BiConsumer<ListKind, List<Target>> listener) {
         Discovery discovery = new Discovery(loop, inRegion ? region : door(), pushed, 0, listener);
         return new Link() {
             @Override
--- a/src/main/java/pondridge/scale/HollowSidecar.java
+++ b/src/main/java/pondridge/scale/HollowSidecar.java
@@ -58,7 +58,7 @@
         this.knowledge = knowledge;
         this.failed = failed;
         this.engine = new Engine(loop, options, seed, MOST_OPEN, NOWHERE);
-        this.link = way.attach(loop, region, this::listed);
+        this.link = way.attach(number, loop, region, this::listed);
     }
 
     /** Begins with an empty list. */
@@ -97,6 +97,6 @@
     void end() {
         ended = true;
         engine.retire();
-        link.watch(false);
+        link.end();
     }
 }
--- a/src/main/java/pondridge/scale/Knowledge.java
+++ b/src/main/java/pondridge/scale/Knowledge.java
@@ -1,8 +1,10 @@
 package pondridge.scale;
 
 import java.util.Arrays;
+import java.util.HashMap;
 import java.util.Map;
 import java.util.TreeMap;
+import java.util.function.IntPredicate;
 import org.HdrHistogram.Histogram;
 
 /**
@@ -21,6 +23,9 @@
     public record Times(double p50, double p99, double last) { }
 
     private final long[] has;
+    /** The last version that is about what a follower follows, and what is of no use to whom. */
+    private final long[] needs;
+    private final Map<Long, IntPredicate> concerned = new HashMap<>();
     private final TreeMap<Long, Long> putAt = new TreeMap<>();
     /** In microseconds. */
     private Histogram took = new Histogram(LONGEST, 3);
@@ -28,12 +33,15 @@
     /** Of so many followers, none of which knows anything. */
     public Knowledge(int followers) {
         has = new long[followers];
+        needs = new long[followers];
         Arrays.fill(has, -1);
+        Arrays.fill(needs, ListWay.FIRST);
     }
 
     /** From now on counts anew, only what is put from now on. */
     public synchronized void begin() {
         putAt.clear();
+        concerned.clear();
         took = new Histogram(LONGEST, 3);
     }
 
@@ -43,23 +51,40 @@
     }
 
     /** A version is put at the source now; before any follower can have it. */
-    public synchronized void put(long version, long now) {
+    public void put(long version, long now) {
+        put(version, now, follower -> true);
+    }
+
+    /** The same, of which some followers are never told, since it is about nothing that they follow. */
+    public synchronized void put(long version, long now, IntPredicate about) {
         putAt.put(version, now);
+        concerned.put(version, about);
+        for (int i = 0; i < needs.length; i++) {
+            if (about.test(i)) {
+                needs[i] = version;
+            }
+        }
     }
 
     /** A follower's module has this version now. */
     public synchronized void had(int follower, long version, long now) {
         if (version > has[follower]) {
             for (Map.Entry<Long, Long> each : putAt.subMap(has[follower], false, version, true).entrySet()) {
-                took.recordValue(Math.min(LONGEST, Math.max(0, now - each.getValue()) / 1_000));
+                if (concerned.get(each.getKey()).test(follower)) {
+                    took.recordValue(Math.min(LONGEST, Math.max(0, now - each.getValue()) / 1_000));
+                }
             }
             has[follower] = version;
         }
     }
 
-    /** How many followers don't have this version yet. */
+    /** How many followers don't have this version yet, or the last one before it that is about theirs. */
     public synchronized int missing(long version) {
-        return (int) Arrays.stream(has).filter(each -> each < version).count();
+        int missing = 0;
+        for (int i = 0; i < has.length; i++) {
+            missing += has[i] < Math.min(version, needs[i]) ? 1 : 0;
+        }
+        return missing;
     }
 
     /** Of all that was put since {@link #begin}; zeros where nobody had any of it. */
--- a/src/main/java/pondridge/scale/ListWay.java
+++ b/src/main/java/pondridge/scale/ListWay.java
@@ -25,10 +25,15 @@
 
         /** The version that the follower has; while the listener is called, the one that it is told. */
         long version();
+
+        /** Lets go of the list, for good. */
+        default void end() {
+            watch(false);
+        }
     }
 
     /**
-     * What the source, with all between it and the followers, has done; sums that only grow, but the last.
+     * What the source, or all relays together, have done; sums that only grow, but the last.
      *
      * @param calls requests or connections that came
      * @param lists whole lists written, {@code changes} differences and {@code empties} signs of life
@@ -36,6 +41,13 @@
      * @param watches who is followed now
      */
     record Counts(long calls, long lists, long changes, long empties, long bytes, int watches) {
+        static final Counts NONE = new Counts(0, 0, 0, 0, 0, 0);
+
+        Counts plus(Counts other) {
+            return new Counts(calls + other.calls, lists + other.lists, changes + other.changes,
+                    empties + other.empties, bytes + other.bytes, watches + other.watches);
+        }
+
         Counts since(Counts before) {
             return new Counts(calls - before.calls, lists - before.lists, changes - before.changes,
                     empties - before.empties, bytes - before.bytes, watches);
@@ -52,24 +64,46 @@
     /**
      * Makes one follower's end.
      *
+     * @param follower its number; below 0 for one that is not counted
      * @param region whether it is among those that {@link #cut} cuts off
      */
-    Link attach(EventLoop loop, boolean region, BiConsumer<ListKind, List<Target>> listener);
+    Link attach(int follower, EventLoop loop, boolean region, BiConsumer<ListKind, List<Target>> listener);
 
     /** Where real sidecars find the source, as their configuration's {@code discovery}. */
     InetSocketAddress door();
 
-    /** The source is gone, or back with the list it had. */
+    /** The source, or one of the relays where there are some, is gone, or back with the list it had. */
     void kill(boolean on);
 
+    /** The source is gone, or back, whether there are relays or not. */
+    default void killSource(boolean on) {
+        kill(on);
+    }
+
     /** The source says nothing more on what is open, or speaks again. */
     void silence(boolean on);
 
     /** Followers of the region can't reach the source, or can again. */
     void cut(boolean on);
 
+    /** What the source has done. */
     Counts counts();
 
+    /** What relays between the source and the followers have done; nothing where there are none. */
+    default Counts relayed() {
+        return Counts.NONE;
+    }
+
+    /** How many followers are followed now. */
+    default int watches() {
+        return counts().watches();
+    }
+
+    /** Processor time of all relays so far, in nanoseconds. */
+    default long relayNanos() {
+        return 0;
+    }
+
     /** Processor time of the source so far, in nanoseconds. */
     long cpuNanos();
 
--- a/src/main/java/pondridge/scale/LoopSidecar.java
+++ b/src/main/java/pondridge/scale/LoopSidecar.java
@@ -20,7 +20,7 @@
         EventLoop loop = role.next();
         Frontend front = loop.submit(() -> {
             Engine engine = new Engine(loop, options, seed, MOST, new Upstreams(loop, options, MOST));
-            ListWay.Link link = way.attach(loop, false, engine::listed);
+            ListWay.Link link = way.attach(-1, loop, false, engine::listed);
             engine.start(link, List.of());
             link.follow();
             return new Frontend(engine, options, MOST);
--- a/src/main/java/pondridge/scale/ScalePlan.java
+++ b/src/main/java/pondridge/scale/ScalePlan.java
@@ -5,6 +5,7 @@
 import java.util.Arrays;
 import java.util.List;
 import java.util.Locale;
+import pondridge.control.ControlSettings;
 import pondridge.settings.Section;
 import pondridge.settings.SettingsException;
 import pondridge.settings.SettingsFile;
@@ -23,11 +24,14 @@
  * @param sidecars real ones beside the hollow ones
  * @param processes whether those are processes of the shipped program, or run here
  * @param perSecond requests on the real ones, all together
+ * @param control how lists travel by way of relays; null for the platform's discovery
+ * @param relays how many there are, and {@code services} over which the lines are spread, of which a hollow
+ *     sidecar follows {@code follows}
  * @param limit after so long a case has failed whose change is not known everywhere
  */
 public record ScalePlan(String name, long seed, List<Integer> sizes, int entries, int zones, int loops,
         boolean pushed, long askWithin, int sidecars, boolean processes, int perSecond, long limit,
-        List<Step> cases) {
+        ControlSettings control, int relays, int services, int follows, List<Step> cases) {
     /**
      * The most lines that all hollow sidecars of a run hold together: about a kilobyte each in the worst
      * case.
@@ -50,6 +54,8 @@
         JOIN,
         /** The source is gone for a time: connections end and new ones are refused. */
         KILLED,
+        /** The source is gone for a time, and relays are not. */
+        SOURCE_KILLED,
         /** The source says nothing for a time, on connections that stay open. */
         SILENT,
         /** A part of the hollow sidecars can't reach the source for a time. */
@@ -66,12 +72,15 @@
      * @param length how long it lasts, or over how long its changes are spread
      * @param perSecond changes a second, of {@link Act#CHURN}
      * @param folded all changes in one
+     * @param before the one change of an outage comes right before it, and not at its end
      * @param part of the hollow sidecars, of {@link Act#REGION_CUT}
      */
-    public record Step(String name, Act act, long length, double perSecond, boolean folded, double part) {
+    public record Step(String name, Act act, long length, double perSecond, boolean folded, boolean before,
+            double part) {
         /** Whether it is about an outage, whose end is what counts. */
         public boolean outage() {
-            return act == Act.KILLED || act == Act.SILENT || act == Act.REGION_CUT;
+            return act == Act.KILLED || act == Act.SOURCE_KILLED || act == Act.SILENT
+                    || act == Act.REGION_CUT;
         }
     }
 
@@ -91,19 +100,32 @@
         if (cases.isEmpty()) {
             throw new SettingsException(file.name(), "cases", "expected at least one section [cases.NAME]");
         }
+        boolean control = scale.word("way", "discovery", List.of("discovery", "control"))
+                .equals("control");
+        int services = control ? scale.number("services", 1, 1, 4_096) : 1;
         ScalePlan plan = new ScalePlan(file.name(), scale.number("seed", 1, 0, Integer.MAX_VALUE),
                 List.copyOf(scale.numbers("sizes", List.of(100, 300, 1_000), 1, 10_000)),
                 scale.number("entries", 60, 1, 20_000), scale.number("zones", 3, 1, 100),
                 scale.number("loops", 2, 1, 8),
                 scale.word("lists", "asked", List.of("asked", "pushed")).equals("pushed"),
-                scale.time("ask_within", "10s", "100ms", "10min"), scale.number("sidecars", 2, 0, 20),
+                scale.time("ask_within", "10s", "100ms", "10min"),
+                scale.number("sidecars", control ? 0 : 2, 0, 20),
                 scale.word("hosting", "process", List.of("process", "loop")).equals("process"),
                 scale.number("per_second", 40, 0, 1_000), scale.time("limit", "60s", "1s", "10min"),
+                control ? ControlSettings.of(file, Path.of("")) : null,
+                control ? scale.number("relays", 2, 1, 16) : 0, services,
+                control ? scale.number("follows", services, 1, services) : 1,
                 List.copyOf(cases));
         if (plan.zones > plan.entries) {
             throw scale.contradiction("zones", "expected no more than entries, " + plan.entries);
         }
-        if ((long) plan.largest() * plan.entries > MOST_LINES) {
+        if (plan.services > plan.entries) {
+            throw scale.contradiction("services", "expected no more than entries, " + plan.entries);
+        }
+        if (control && plan.sidecars > 0) {
+            throw scale.contradiction("sidecars", "expected 0 with way control: real ones follow discovery");
+        }
+        if ((long) plan.largest() * plan.entries * plan.follows / plan.services > MOST_LINES) {
             throw scale.contradiction("entries", "expected at most " + MOST_LINES / plan.largest()
                     + " with " + plan.largest() + " hollow sidecars: all of them hold the list");
         }
@@ -117,6 +139,7 @@
         boolean folded = section.word("told", "singly", List.of("singly", "folded")).equals("folded");
         Step step = new Step(name, act, section.time("for", act == Act.JOIN ? "0ms" : "1s", "0ms", "10min"),
                 section.fraction("per_second", 1, 0.01, 1_000), folded,
+                section.word("change", "after", List.of("after", "before")).equals("before"),
                 section.fraction("part", 0.3, 0.01, 1));
         if (act == Act.CHURN && Schedule.count(step) == 0) {
             throw section.contradiction("for", "expected at least one change: for times per_second is less");
@@ -124,6 +147,9 @@
         if (act == Act.SILENT && step.length < 5_000 * MS) {
             throw section.contradiction("for", "expected 5s or more: a shorter silence is not noticed");
         }
+        if (step.before && (!step.outage() || act == Act.SOURCE_KILLED)) {
+            throw section.contradiction("change", "expected with an outage, but not the source's");
+        }
         if (folded && act != Act.ZONE_GONE) {
             throw section.contradiction("told", "expected with zone-gone alone");
         }
@@ -135,6 +161,16 @@
         return sizes.stream().mapToInt(Integer::intValue).max().orElse(0);
     }
 
+    /** Which service a line belongs to. */
+    int service(int line) {
+        return (int) ((long) line * services / entries);
+    }
+
+    /** Whether a hollow sidecar follows a service: so many in a row, from where the one before ended. */
+    boolean follows(int follower, int service) {
+        return Math.floorMod(service - (long) follower * follows, services) < follows;
+    }
+
     /** How many servers there are: one a line, as far as that goes. */
     int servers() {
         return sidecars == 0 || perSecond == 0 ? 0 : Math.min(entries, 1_000);
--- a/src/main/java/pondridge/scale/ScaleReport.java
+++ b/src/main/java/pondridge/scale/ScaleReport.java
@@ -57,6 +57,14 @@
                         each -> each.source().messages() / each.events()));
                 lines.add(slope("source", name, "cpu-us" + per + "-per-watcher", all,
                         each -> each.sourceCpu() / 1e3 / each.events()));
+                if (all.get(0).relayed().bytes() > 0) {
+                    lines.add(slope("relay", name, "bytes" + per + "-per-watcher", all,
+                            each -> each.relayed().bytes() / each.events()));
+                    lines.add(slope("relay", name, "messages" + per + "-per-watcher", all,
+                            each -> each.relayed().messages() / each.events()));
+                    lines.add(slope("relay", name, "cpu-us" + per + "-per-watcher", all,
+                            each -> each.relayCpu() / 1e3 / each.events()));
+                }
                 lines.add(slope("follower", name, "cpu-us" + per + "-per-follower", all,
                         each -> each.followerCpu() / 1e3 / each.events()));
                 lines.add(slope("fleet", name, "known-p99-ms-per-follower", all, each -> each.known().p99()));
--- a/src/main/java/pondridge/scale/ScaleRun.java
+++ b/src/main/java/pondridge/scale/ScaleRun.java
@@ -4,6 +4,7 @@
 import java.io.IOException;
 import java.lang.management.ManagementFactory;
 import java.util.ArrayList;
+import java.util.Arrays;
 import java.util.List;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.ExecutionException;
@@ -41,6 +42,10 @@
 
         /** The platform's discovery. */
         Source DISCOVERY = (plan, first) -> new DiscoveryWay(plan.pushed(), first);
+
+        /** The way that the plan names. */
+        Source PLANNED = (plan, first) -> plan.control() == null
+                ? DISCOVERY.start(plan, first) : new ControlWay(plan, first);
     }
 
     private final ScalePlan plan;
@@ -55,7 +60,8 @@
         this.plan = plan;
         this.source = source;
         this.progress = progress;
-        this.options = Usual.options(WAIT_MS, "discovery=" + (plan.pushed() ? "automatic" : "subscribe"),
+        this.options = Usual.options(WAIT_MS, "discovery="
+                + (plan.pushed() || plan.control() != null ? "automatic" : "subscribe"),
                 "rules.askWithin=" + plan.askWithin());
         this.lines = IntStream.range(0, plan.entries()).boxed().toList();
     }
@@ -156,7 +162,9 @@
         private void put(List<Integer> changed, State state) {
             version++;
             bed.told(changed, state);
-            knowledge.put(version, System.nanoTime());
+            int[] services = changed.stream().mapToInt(plan::service).distinct().toArray();
+            knowledge.put(version, System.nanoTime(),
+                    follower -> Arrays.stream(services).anyMatch(each -> plan.follows(follower, each)));
             way.put(bed.targets(changed, state));
         }
 
@@ -179,7 +187,10 @@
                         Math.max(LOAD_MIN, step.length()) / 1e9);
                 knowledge.begin();
                 ListWay.Counts counted = way.counts();
+                ListWay.Counts relayed = way.relayed();
+                int watches = way.watches();
                 long sourceCpu = way.cpuNanos();
+                long relayCpu = way.relayNanos();
                 long followerCpu = fleet.cpuNanos();
                 long realCpu = bed.cpuNanos();
                 failedBefore = fleet.failed();
@@ -188,13 +199,14 @@
                 until(began + step.length());
                 boolean done = known();
                 if (step.outage()) {
-                    backAll(counted.watches());
+                    backAll(watches);
                 }
                 double seconds = (System.nanoTime() - began) / 1e9;
                 double events = step.act() == Act.QUIET ? seconds : Math.max(1, schedule.changes().size());
                 Row row = new Row(size, plan.entries(), step, events, seconds, knowledge.times(),
                         done ? 0 : knowledge.missing(version), way.counts().since(counted),
-                        way.cpuNanos() - sourceCpu, fleet.cpuNanos() - followerCpu,
+                        way.cpuNanos() - sourceCpu, way.relayed().since(relayed),
+                        way.relayNanos() - relayCpu, fleet.cpuNanos() - followerCpu,
                         fleet.failed() - failedBefore, failedDown, heapKb, bed.cpuNanos() - realCpu,
                         bed.residentKb());
                 join(load);
@@ -204,11 +216,16 @@
 
             private void act() throws InterruptedException {
                 if (step.outage()) {
+                    if (step.before()) {
+                        put(List.of(0), State.READY);
+                    }
                     outage(true);
                     until(began + step.length());
                     failedDown = fleet.failed() - failedBefore;
-                    // One line is told again, unchanged: a version that nobody has who was away.
-                    put(List.of(0), State.READY);
+                    if (!step.before()) {
+                        // One line is told again, unchanged: a version that nobody has who was away.
+                        put(List.of(0), State.READY);
+                    }
                     outage(false);
                 } else if (step.act() == Act.JOIN) {
                     knowledge.put(version, began);
@@ -223,6 +240,7 @@
             private void outage(boolean on) {
                 switch (step.act()) {
                     case KILLED -> way.kill(on);
+                    case SOURCE_KILLED -> way.killSource(on);
                     case SILENT -> way.silence(on);
                     default -> way.cut(on);
                 }
@@ -230,7 +248,7 @@
 
             /** Waits until all who were followed are again, the real ones among them. */
             private void backAll(int watches) throws InterruptedException {
-                await(() -> way.counts().watches() >= watches);
+                await(() -> way.watches() >= watches);
             }
 
             /** All lines are ready again before the next case, and all know it. */
--- a/src/test/java/pondridge/scale/ScaleTest.java
+++ b/src/test/java/pondridge/scale/ScaleTest.java
@@ -12,6 +12,7 @@
 import java.util.Map;
 import java.util.Random;
 import java.util.Set;
+import java.util.stream.IntStream;
 import java.util.stream.Stream;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.Timeout;
@@ -43,6 +44,35 @@
             cut = { do = "region-cut", part = 0.4, for = "1s" }
             """;
 
+    private static final String RELAYED = """
+            [scale]
+            seed = %d
+            way = "control"
+            sizes = [50]
+            entries = 24
+            zones = 2
+            services = 8
+            follows = 2
+            loops = 1
+            [control]
+            beat = "200ms"
+            silence = "1500ms"
+            fold = "50ms"
+            gap = "50ms"
+            report = "50ms"
+            spread = "300ms"
+            pause = "100ms"
+            home = "1s"
+            joins_per_second = 200
+            [cases]
+            one = { do = "churn", per_second = 1, for = "1s" }
+            folded = { do = "zone-gone", told = "folded", for = "500ms" }
+            join = { do = "join" }
+            relay = { do = "killed", change = "before", for = "1s" }
+            source = { do = "source-killed", for = "500ms" }
+            cut = { do = "region-cut", part = 0.4, for = "1s" }
+            """;
+
     private static ScalePlan plan(String text) {
         SettingsFile file = SettingsFile.parse("scale.toml", text);
         ScalePlan plan = ScalePlan.of(file);
@@ -85,6 +115,52 @@
         assertEquals(6 * 6 + 1, report.slopes().size(), told);
     }
 
+    private static List<Map.Entry<String, String>> mistakes(String... texts) {
+        return IntStream.range(0, texts.length / 2).mapToObj(i -> Map.entry(texts[2 * i], texts[2 * i + 1]))
+                .toList();
+    }
+
+    /**
+     * Lists through two relays: all know all, also when a relay goes right after a change was put, and nobody
+     * needs the whole again for it. A change of one service goes to those who follow it, and to no others.
+     */
+    @Test
+    @Timeout(value = 120, threadMode = Timeout.ThreadMode.SEPARATE_THREAD)
+    void aShortRunThroughRelaysIsWhole() throws Exception {
+        long seed = Long.getLong("seed", System.nanoTime() & 0xffff);
+        System.out.println("scale run through relays, seed " + seed);
+        ScaleReport report = new ScaleRun(plan(RELAYED.formatted(seed)), ScaleRun.Source.PLANNED,
+                line -> { }).play();
+        String told = String.join("\n", report.lines());
+        assertTrue(report.clean(), told);
+        assertEquals(6, report.rows().size(), told);
+        for (Row row : report.rows()) {
+            ListWay.Counts relayed = row.relayed();
+            assertEquals(50, relayed.watches(), told);
+            assertTrue(row.sourceCpu() > 0 && row.relayCpu() > 0 && row.followerCpu() > 0, told);
+            assertTrue(row.source().bytes() < relayed.bytes(), told);
+            switch (row.step().name()) {
+                case "one" -> {
+                    assertEquals(2, row.source().changes(), told);
+                    assertTrue(relayed.changes() == 12 || relayed.changes() == 13, told);
+                    assertEquals(0, relayed.lists(), told);
+                }
+                case "folded" -> {
+                    assertEquals(2, row.source().changes(), told);
+                    assertEquals(50, relayed.changes(), told);
+                    assertEquals(0, relayed.lists(), told);
+                }
+                case "join" -> assertEquals(50, relayed.lists() + relayed.changes(), told);
+                case "relay" -> {
+                    assertTrue(row.source().lists() <= 1, told);
+                    assertEquals(0, relayed.lists(), told);
+                    assertTrue(relayed.changes() >= 12 && relayed.changes() <= 13, told);
+                }
+                default -> assertEquals(0, relayed.lists(), told);
+            }
+        }
+    }
+
     @Test
     void slopesAreThoseOfTheLine() {
         Slope line = Slope.of(new double[] {100, 300, 1_000}, new double[] {205, 605, 2_005});
@@ -127,7 +203,7 @@
             boolean churn = random.nextBoolean();
             ScalePlan.Step step = new ScalePlan.Step("x",
                     churn ? ScalePlan.Act.CHURN : ScalePlan.Act.ZONE_GONE,
-                    1_000_000_000, 1 + random.nextInt(50), random.nextBoolean(), 1);
+                    1_000_000_000, 1 + random.nextInt(50), random.nextBoolean(), false, 1);
             Schedule schedule = new Schedule(step, entries, zones, i);
             Set<Integer> away = new HashSet<>();
             long before = 0;
@@ -148,10 +224,10 @@
     @Test
     void shippedPlansCanBeReadAndMistakesAreNamed() throws IOException {
         try (Stream<Path> files = Files.list(Path.of("scale"))) {
-            assertEquals(3, files.map(ScalePlan::read).filter(each -> each.largest() <= 3_000).count());
+            assertEquals(6, files.map(ScalePlan::read).filter(each -> each.largest() <= 3_000).count());
         }
         String cases = "[cases]\na = { do = \"join\" }\n";
-        for (Map.Entry<String, String> each : Map.of(
+        for (Map.Entry<String, String> each : mistakes(
                 "", "cases: expected at least one section",
                 "[cases]\na = { do = \"burn\" }", "cases.a.do: expected one of quiet, churn",
                 "[cases]\na = { do = \"churn\", for = \"1ms\" }", "cases.a.for: expected at least one change",
@@ -160,8 +236,14 @@
                 "[scale]\nsizes = [0]\n" + cases, "scale.sizes: expected a list of whole numbers from 1",
                 "[scale]\nentries = 2\n" + cases, "scale.zones: expected no more than entries",
                 "[scale]\nsizes = [3000]\nentries = 16000\n" + cases, "scale.entries: expected at most 1333",
-                "[scale]\nsize = 3\n" + cases, "scale.size: unknown key").entrySet()) {
-            SettingsException told = assertThrows(SettingsException.class, () -> plan(each.getKey()));
+                "[scale]\nway = \"carrier\"\n" + cases, "scale.way: expected one of discovery, control",
+                "[scale]\nrelays = 2\n" + cases, "scale.relays: unknown key",
+                "[scale]\nway = \"control\"\nsidecars = 1\n" + cases, "scale.sidecars: expected 0",
+                "[scale]\nway = \"control\"\nservices = 61\n" + cases, "scale.services: expected no more",
+                "[scale]\nway = \"control\"\n[control]\nbeet = 1\n" + cases, "control.beet: unknown key",
+                "[scale]\nsize = 3\n" + cases, "scale.size: unknown key")) {
+            SettingsException told = assertThrows(SettingsException.class, () -> plan(each.getKey()),
+                    each.getKey());
             assertTrue(told.getMessage().contains(each.getValue()), told::getMessage);
         }
         ScalePlan large = plan("[scale]\nsizes = [3000]\n" + cases);
