Look once a second for what has folded into nothing of a follower's services

Change: a hollow sidecar that follows a part of the services looks whether a beat has brought a newer version.

--- a/src/main/java/pondridge/scale/ControlWay.java
+++ b/src/main/java/pondridge/scale/ControlWay.java
@@ -1,6 +1,7 @@
 package pondridge.scale;
 
 import io.netty.channel.EventLoop;
+import io.netty.util.concurrent.Future;
 import java.io.IOException;
 import java.io.UncheckedIOException;
 import java.net.InetAddress;
@@ -37,6 +38,7 @@
     private static final InetAddress LOCAL = InetAddress.getLoopbackAddress();
     private static final int PATIENCE_S = 60;
     private static final int POLL_MS = 5;
+    private static final int LOOK_MS = 1_000;
     private static final Events LOUD = (event, peer, detail) -> {
         if (List.of("refused", "entry_passed_over", "listener_failed", "not_written", "not_taken")
                 .contains(event)) {
@@ -210,9 +212,23 @@
         ControlClient client = new ControlClient(its, mine,
                 (now, kind, targets, others) -> listener.accept(kind, targets), LOUD, new Traffic());
         return new Link() {
+            private Future<?> looks;
+            private long told = FIRST - 1;
+
             @Override
             public void follow() {
                 client.start();
+                if (!services.isEmpty()) {
+                    looks = its.scheduleWithFixedDelay(this::look, LOOK_MS, LOOK_MS, TimeUnit.MILLISECONDS);
+                }
+            }
+
+            /** What folds into nothing of its services comes with a beat, of which a follower is not told. */
+            private void look() {
+                if (version() > told) {
+                    told = version();
+                    listener.accept(ListKind.DELTA, List.of());
+                }
             }
 
             @Override
@@ -231,6 +247,9 @@
             @Override
             public void end() {
                 client.close();
+                if (looks != null) {
+                    looks.cancel(false);
+                }
             }
         };
     }
