--- a/src/main/java/pondridge/sidecar/Main.java
+++ b/src/main/java/pondridge/sidecar/Main.java
@@ -109,8 +109,13 @@
                         }
                         return null;
                     });
-            signal.getMethod("handle", signal, handler)
+            Object before = signal.getMethod("handle", signal, handler)
                     .invoke(null, signal.getConstructor(String.class).newInstance("HUP"), ours);
+            if (before == handler.getField("SIG_IGN").get(null)) {
+                // The JVM leaves a signal alone that was ignored when it began, as nohup has it.
+                System.err.println("pondridge: SIGHUP was ignored when this program began and stays so:"
+                        + " no new configuration will be taken");
+            }
         } catch (ReflectiveOperationException e) {
             System.err.println("pondridge: SIGHUP would end this program: " + e);
         }
--- a/src/test/java/pondridge/sidecar/DeployedIT.java
+++ b/src/test/java/pondridge/sidecar/DeployedIT.java
@@ -205,6 +205,27 @@
         }
     }
 
+    /** As nohup has it: the JVM then leaves the signal alone, and whoever sends one must be able to see why. */
+    @Test
+    void aStartWithSighupIgnoredSaysSo() throws Exception {
+        try (Stub upstream = Stub.serving("x")) {
+            InetSocketAddress address = freeAddress();
+            before = "trap '' HUP; ";
+            start("run", Bed.json(upstream).put("listen", "127.0.0.1:" + address.getPort()));
+            awaitUp(address);
+            BufferedReader log = process.errorReader();
+            String line = log.readLine();
+            while (!line.contains("SIGHUP was ignored")) {
+                assertFalse(line.contains("ready at"), "said before it is ready");
+                line = log.readLine();
+            }
+            hangUp();
+            try (Bed.Client client = new Bed.Client(address)) {
+                assertEquals(200, client.ask(Bed.look("a")).status());
+            }
+        }
+    }
+
     /** Idle clients that take all there is, and come again at once when they are ended. */
     private static final class Idlers implements AutoCloseable {
         private static final int COUNT = 300;
