--- a/src/test/java/pondridge/RulesTest.java
+++ b/src/test/java/pondridge/RulesTest.java
@@ -512,7 +512,7 @@
                 host.request(10_000 + i, 0);
                 host.advance(500 * MS);
             }
-            assertTrue(host.sends.size() > before, "seed " + seed + ": eight aims, each with a cheap request");
+            assertTrue(host.sends.size() > before, "seed " + seed + ": eight aims, a cheap request each");
         }
     }
 
--- a/src/test/java/pondridge/sidecar/DeployedIT.java
+++ b/src/test/java/pondridge/sidecar/DeployedIT.java
@@ -205,7 +205,7 @@
         }
     }
 
-    /** As nohup has it: the JVM then leaves the signal alone, and whoever sends one must be able to see why. */
+    /** As nohup has it: the JVM then leaves the signal alone, and who sends one must be able to see why. */
     @Test
     void aStartWithSighupIgnoredSaysSo() throws Exception {
         try (Stub upstream = Stub.serving("x")) {
