Show in the lab that a fleet refuses for seconds after a stall of 300 ms

Need: a healthy fleet of ten at 0.8 of its room refused everything for seconds. The bed of cold starts now has servers, sidecars and clients that stand still for a while, and counts refusals by when in a try's life they came.

Ruled out: limits (they cap what is sent, and grow within a second), what is held and given up.

--- a/src/main/java/pondridge/lab/Bed.java
+++ b/src/main/java/pondridge/lab/Bed.java
@@ -5,6 +5,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Random;
+import java.util.function.LongConsumer;
 import pondridge.Balancer.Actions;
 import pondridge.Balancer.ListKind;
 import pondridge.Balancer.Outcome;
@@ -27,12 +28,14 @@
     /** A try at a module. */
     private static final class Try {
         final Asked asked;
+        final long at;
         final List<Upstreams.Work> attempts = new ArrayList<>();
         final List<Boolean> out = new ArrayList<>();
         boolean ended;
 
-        Try(Asked asked) {
+        Try(Asked asked, long at) {
             this.asked = asked;
+            this.at = at;
         }
     }
 
@@ -47,6 +50,7 @@
     private long now;
     private long ids;
     private int turn;
+    private long clientsStillUntil;
 
     private Bed(Scene scene) {
         this.scene = scene;
@@ -87,9 +91,17 @@
                 upstreams.gone(at, which);
                 upstreams.start(which, scene.upstreams().get(which), at);
             }
+            case STILL_SERVER -> upstreams.still(at, which, change.lasts());
+            case STILL_SIDECAR -> {
+                if (hosts[which] == null) {
+                    startSidecar(at, which);
+                }
+                hosts[which].stillUntil = at + change.lasts();
+            }
+            case STILL_CLIENTS -> clientsStillUntil = at + change.lasts();
             default -> startSidecar(at, which);
         }
-        if (change.event() != Scene.Event.SIDECAR) {
+        if (change.event() == Scene.Event.GONE || change.event() == Scene.Event.COLD) {
             List<Upstream> news = List.of(entry(which));
             for (Host host : hosts) {
                 if (host != null) {
@@ -132,8 +144,11 @@
             draw -= arrivals.shares().get(kind++);
         }
         double requests = 1 + arrivals.spread() * (2 * random.nextDouble() - 1);
-        tally.at(at).offered++;
-        hosts[module].ask(at, new Asked(at, module, kind, requests, false));
+        Asked asked = new Asked(Math.max(at, clientsStillUntil), module, kind, requests, false);
+        queue.at(asked.at, then -> {
+            tally.at(then).offered++;
+            hosts[asked.module].ask(then, asked);
+        });
     }
 
     /** One sidecar's host: carries out what its module orders. */
@@ -141,6 +156,7 @@
         private final Rules module;
         private final Map<Long, Try> tries = new HashMap<>();
         private boolean over;
+        private long stillUntil;
 
         Host(int rank, long seed) {
             Settings all = scene.settings();
@@ -156,14 +172,26 @@
             }
         }
 
+        /** At once, or when it no longer stands still. */
+        private void awake(long at, LongConsumer what) {
+            if (at < stillUntil) {
+                queue.at(stillUntil, then -> awake(then, what));
+            } else {
+                now = at;
+                what.accept(at);
+            }
+        }
+
+        /** The client says how much time it has left; one that stands still reads that later. */
         void ask(long at, Asked asked) {
-            now = at;
-            long id = ids++;
-            RequestClass kind = scene.settings().classes().get(asked.kind);
-            tries.put(id, new Try(asked));
-            double hint = scene.arrivals().hinted() ? asked.requests * scene.arrivals().work() : 0;
-            module.request(BEGIN + at, new Request(id, asked.kind, 0, 0, asked.at + kind.deadline() - at,
-                    (long) hint, asked.again, false));
+            long left = asked.at + scene.settings().classes().get(asked.kind).deadline() - at;
+            awake(at, then -> {
+                long id = ids++;
+                tries.put(id, new Try(asked, then));
+                double hint = scene.arrivals().hinted() ? asked.requests * scene.arrivals().work() : 0;
+                module.request(BEGIN + then, new Request(id, asked.kind, 0, 0, left, (long) hint, asked.again,
+                        false));
+            });
         }
 
         @Override
@@ -175,13 +203,13 @@
             long last = asked.at + scene.settings().classes().get(asked.kind).deadline();
             Upstreams.Work work = new Upstreams.Work(asked.requests,
                     (long) (asked.requests * scene.arrivals().work()), (at, outcome) ->
-                    queue.at(at + scene.travel() / 2, then -> end(then, request, attempt, upstream, outcome,
-                            sentAt)));
+                    queue.at(at + scene.travel() / 2, then -> awake(then, read -> end(read, request, attempt,
+                            upstream, outcome, sentAt))));
             mine.attempts.add(work);
             mine.out.add(true);
             queue.at(now + scene.travel() / 2, at -> upstreams.take(at, (int) upstream, work));
-            queue.at(timeout > 0 ? Math.min(last, now + timeout) : last, at ->
-                    end(at, request, attempt, upstream, Outcome.TIMEOUT, sentAt));
+            queue.at(timeout > 0 ? Math.min(last, now + timeout) : last, at -> awake(at, then ->
+                    end(then, request, attempt, upstream, Outcome.TIMEOUT, sentAt)));
         }
 
         private void end(long at, long request, int attempt, long upstream, Outcome outcome, long sentAt) {
@@ -191,6 +219,9 @@
                 return;
             }
             mine.out.set(attempt, false);
+            if (outcome == Outcome.REJECTED) {
+                tally.at(at).rejected++;
+            }
             mine.attempts.get(attempt).withdrawn = true;
             if (outcome == Outcome.OK && !mine.ended) {
                 mine.ended = true;
@@ -210,6 +241,13 @@
             Try mine = tries.get(request);
             mine.ended = true;
             Asked asked = mine.asked;
+            if (!mine.attempts.isEmpty()) {
+                tally.at(now).refusedAfterAttempts++;
+            } else if (mine.at == now) {
+                tally.at(now).refusedAtOnce++;
+            } else {
+                tally.at(now).refusedAfterWait++;
+            }
             long again = now + Math.max(scene.arrivals().again(), wait);
             if (asked.again || scene.arrivals().again() == 0
                     || again >= asked.at + scene.settings().classes().get(asked.kind).deadline()) {
@@ -239,12 +277,11 @@
 
         @Override
         public void timer(long token, long at) {
-            queue.at(Math.max(now, at - BEGIN), then -> {
-                now = then;
+            queue.at(Math.max(now, at - BEGIN), when -> awake(when, then -> {
                 if (!over) {
                     module.timer(BEGIN + then, token);
                 }
-            });
+            }));
         }
 
         @Override
--- a/src/main/java/pondridge/lab/Scene.java
+++ b/src/main/java/pondridge/lab/Scene.java
@@ -50,9 +50,17 @@
         }
     }
 
-    /** What may happen: a server goes, a server starts anew and is cold, a sidecar starts anew. */
-    public enum Event { GONE, COLD, SIDECAR }
+    /**
+     * What may happen: a server goes, a server starts anew and is cold, a sidecar starts anew; a server, a
+     * sidecar or all clients stand still for a while, as in a collection, and then go on with all that came,
+     * or should have been asked, meanwhile.
+     */
+    public enum Event { GONE, COLD, SIDECAR, STILL_SERVER, STILL_SIDECAR, STILL_CLIENTS }
 
-    /** One of it. */
-    public record Change(long at, Event event, int which) { }
+    /** One of it; {@code lasts} is for what stands still. */
+    public record Change(long at, Event event, int which, long lasts) {
+        public Change(long at, Event event, int which) {
+            this(at, event, which, 0);
+        }
+    }
 }
--- a/src/main/java/pondridge/lab/Tally.java
+++ b/src/main/java/pondridge/lab/Tally.java
@@ -19,6 +19,14 @@
         public int late;
         /** Refused or failed for good. */
         public int refused;
+        /** Tries that a sidecar refused then as they came: shed, or held to be hopeless. */
+        public int refusedAtOnce;
+        /** Tries that a sidecar refused then after they had waited for room, with nothing sent. */
+        public int refusedAfterWait;
+        /** Tries that a sidecar refused then after servers had refused them or had not answered. */
+        public int refusedAfterAttempts;
+        /** Attempts that servers refused, by when a sidecar heard of it. */
+        public int rejected;
         /** By server: requests of mean work that reached it then, also those that it refused. */
         public final double[] reached;
         /** By server: requests of mean work that it finished then. */
--- a/src/main/java/pondridge/lab/Upstreams.java
+++ b/src/main/java/pondridge/lab/Upstreams.java
@@ -32,6 +32,8 @@
         final ArrayDeque<Work> waiting = new ArrayDeque<>();
         final List<Work> inWork = new ArrayList<>();
         boolean down;
+        long stillUntil;
+        long stood;
 
         Server(int number, Scene.Machine machine, ColdBudget budget, long startedAt) {
             this.number = number;
@@ -76,8 +78,19 @@
         server.waiting.clear();
     }
 
+    /** It does nothing for a while; its work takes so much longer. */
+    void still(long now, int number, long lasts) {
+        Server server = servers.get(number);
+        server.stillUntil = now + lasts;
+        server.stood += lasts;
+    }
+
     void take(long now, int number, Work work) {
         Server server = servers.get(number);
+        if (now < server.stillUntil && !server.down) {
+            queue.at(server.stillUntil, at -> take(at, number, work));
+            return;
+        }
         tally.reached(now, number, work.requests);
         if (!server.budget.bears(now, work.requests) && !server.down) {
             tally.overfilled++;
@@ -99,7 +112,15 @@
 
     private void begin(long now, Server server, Work work) {
         server.inWork.add(work);
-        queue.at(now + (long) (work.nanos / server.budget.part(now)), at -> {
+        finish(now + (long) (work.nanos / server.budget.part(now)), server, work, server.stood);
+    }
+
+    private void finish(long then, Server server, Work work, long stood) {
+        queue.at(then, at -> {
+            if (server.stood > stood) {
+                finish(at + server.stood - stood, server, work, server.stood);
+                return;
+            }
             if (!server.inWork.remove(work)) {
                 return;
             }
