Count a request once, and for those shed beside it, in what decides shedding

Cause: Admission.ended put every attempt's answer into the share in time, so one request that six full servers refused weighed six; Admission.shedding then shed all but some hundredths by its cube, and the few that were let through hardly counted beside what was late before. The sum only faded: seconds of refusals over idle servers. Ledger.open held a class that usually takes over two aims to be hopeless, so it sent nothing and never learned better.

Change: a request counts once, by its last answer; one let through stands for those that were shed beside it; a tenth of first tries always goes; a first try is never refused for its class's usual time alone; no further try while servers refuse more than one for each request (each would ask six full servers). The level of many sidecars is as it was.

HealthyFleetTest, RulesTest, RandomEventsTest, SettingsUnlikeTest, ColdSumTest, EmbeddingExampleTest green. Each of the five changes taken back by itself is red in HealthyFleetTest. Not played with real processes.

--- a/src/main/java/pondridge/Rules.java
+++ b/src/main/java/pondridge/Rules.java
@@ -320,6 +320,9 @@
         double expected;
         /** Time without which it is not begun. */
         double least;
+        /** How many requests like it came for each that was let through. */
+        double standsFor = 1;
+        boolean counted;
 
         Call(Request request, RequestClass kind, long now, long elapsed) {
             this.request = request;
@@ -351,7 +354,9 @@
             // would ever show that answers are fast again; what nothing has shown for an aim is not held so.
             boolean hasty = call.aimAt == call.deadline && request.timeLeft() < call.aim
                     && now - health.usual[request.requestClass()].learnedAt < call.aim;
-            call.least = call.expected * (hasty ? Call.MOST_IN_TIME : 0.5);
+            // Danger: a class held to take longer than two aims would send nothing, and never learn better.
+            call.least = hasty ? Call.MOST_IN_TIME * call.expected
+                    : 0.5 * Math.min(call.expected, Math.min(call.aim, request.timeLeft()));
             calls.put(request.id(), call);
             alarms.set(call.deadline, at -> {
                 if (!call.streaming) {
@@ -1015,9 +1020,12 @@
         private long drains;
         private final long[] firstLeft = new long[settings.classes().size()];
         private final int[] firstVotes = new int[settings.classes().size()];
-        /** Over eight aims: ten attempts at a few requests a second; one is taken for good at first. */
+        /** The rest always goes, else nothing would tell when the servers have room again. */
+        private static final double MOST_SHED = 0.9;
+        /** Over eight aims: ten requests at a few a second; one is taken for good at first. */
         private final FadingSum tried = new FadingSum(8.0 * health.firstBackoff, 1);
         private final FadingSum inTime = new FadingSum(8.0 * health.firstBackoff, 1);
+        private final FadingSum rejected = new FadingSum(8.0 * health.firstBackoff, 0);
 
         Admission() {
             for (int i = 0; i < shares.length; i++) {
@@ -1058,9 +1066,14 @@
                 return;
             }
             int ease = call.request.clientRetry() ? 3 : 1;
-            if (call.attempts.isEmpty() && !call.asked && random.nextDouble() < ease * shedding(now, call)) {
-                ledger.answer(call);
-                return;
+            if (call.attempts.isEmpty() && !call.asked) {
+                double draw = random.nextDouble();
+                double shed = shedding(now, call);
+                if (draw < ease * shed) {
+                    ledger.answer(call);
+                    return;
+                }
+                call.standsFor = 1 / (1 - Math.min(MOST_SHED, shed));
             }
             if (reports.ask(now, call)) {
                 return;
@@ -1084,14 +1097,14 @@
         /**
          * The part of new requests to shed. Danger: where many sidecars keep one in flight each, no limit per
          * upstream binds; once work is answered too late, upstreams work for nobody until much less is sent.
-         * Nothing is shed while four fifths of the recent attempts were in time; below, the cube lets a jam
+         * Nothing is shed while four fifths of the recent requests were in time; below, the cube lets a jam
          * drain where a share would feed it. What is shed comes again: marked retries are shed more readily.
          */
         private double shedding(long now, Call call) {
             if (level.rules(now)) {
                 return level.shedding(now, call.kind);
             }
-            return 1 - borne(now);
+            return Math.min(MOST_SHED, 1 - borne(now));
         }
 
         private double borne(long now) {
@@ -1143,8 +1156,13 @@
 
         void ended(long now, Attempt attempt, Outcome outcome, Call call) {
             Server server = attempt.server;
-            tried.add(now, 1);
-            inTime.add(now, outcome == Outcome.OK && now <= call.aimAt ? 1 : 0);
+            // Danger: shed by what few were let through, all is refused for seconds by what was late before.
+            // So each stands for those that were shed beside it. A request counts once, by its last answer:
+            // full servers refuse it up to the try limit within milliseconds, all for one moment's burst.
+            tried.add(now, call.counted ? 0 : call.standsFor);
+            inTime.add(now, outcome == Outcome.OK && now <= call.aimAt ? call.standsFor : 0);
+            call.counted = true;
+            rejected.add(now, outcome == Outcome.REJECTED ? 1 : 0);
             Usual usual = health.usual[call.request.requestClass()];
             double scaled = (now - attempt.sentAt) * usual.mean / call.expected;
             if (outcome == Outcome.REJECTED || scaled > LATE * call.aim) {
@@ -1157,9 +1175,10 @@
             }
         }
 
-        /** Under overload a further attempt takes the place of a first one. */
+        /** Under overload a further attempt takes the place of a first one, or is refused like the others. */
         boolean worthRetry(long now, Call call) {
-            return now < call.aimAt && (level.rules(now) ? level.value : 1 - borne(now)) < 0.8;
+            return now < call.aimAt && (level.rules(now) ? level.value : 1 - borne(now)) < 0.8
+                    && rejected.value(now) <= tried.value(now) + settings.allowed().tryLimit();
         }
 
         long stayAway(Call call) {
