--- a/src/main/java/pondridge/core/Engine.java
+++ b/src/main/java/pondridge/core/Engine.java
@@ -162,6 +162,9 @@
     private Directory directory;
     private final Listed list = new Listed();
     private Observer observer;
+    private RequestLog log = RequestLog.NONE;
+    /** Kept for the log only. */
+    private final Map<Long, String> loggedNames = new HashMap<>();
     private boolean telling;
     private boolean retired;
     private long endsAt = Long.MAX_VALUE;
@@ -240,6 +243,11 @@
         observer = other;
     }
 
+    /** Has each request's events logged; before {@link #start}. */
+    public void log(RequestLog other) {
+        log = other;
+    }
+
     /** How many requests have come in all. */
     public long asked() {
         return asked;
@@ -302,6 +310,9 @@
         for (Target target : targets) {
             long id = upstreamIds.computeIfAbsent(target.uid(), uid -> upstreamIds.size() + 1L);
             named.put(id, target);
+            if (log != RequestLog.NONE) {
+                loggedNames.put(id, target.uid());
+            }
             entries.add(new Upstream(id, number(zones, target.zone()), number(kinds, target.kind()),
                     target.cell(), target.state(), target.weight(), target.startedMs() * 1_000_000));
         }
@@ -333,6 +344,7 @@
             return 0;
         }
         long id = ++lastId;
+        log.taken(id, job);
         long came = now();
         long left = Math.max(1, Math.min(job.waitMs() * 1_000_000 - ANSWER_ROOM, endsAt - came));
         Call call = new Call(job, client);
@@ -340,7 +352,7 @@
         calls.put(id, call);
         // The module answers by its own deadline; this holds for whatever it may have missed.
         call.timer = loop.schedule(() -> tell(now -> {
-            finish(id, call, call::failed);
+            finish(id, call, "failed at the deadline", call::failed);
             rules.hangup(now, id);
         }), left + ANSWER_ROOM / 2, TimeUnit.NANOSECONDS);
         if (looking || came - turnedBefore > UNREAD_TIME) {
@@ -400,6 +412,7 @@
     public void hangup(long id) {
         Call call = calls.get(id);
         if (call != null && !call.over) {
+            log.clientLeft(id);
             call.end();
             // Kept until the module knows: what it may order meanwhile has to get an outcome, too.
             tell(now -> {
@@ -430,8 +443,9 @@
         return calls.values().stream().allMatch(call -> call.over);
     }
 
-    private void finish(long id, Call call, Runnable answer) {
+    private void finish(long id, Call call, String kind, Runnable answer) {
         if (!call.over) {
+            log.answered(id, kind);
             call.end();
             answer.run();
             forget(id, call);
@@ -464,6 +478,7 @@
             wait = Math.min(wait, timeout);
         }
         call.sent++;
+        log.attemptSent(request, number, loggedNames.get(upstream), wait);
         next.begin(wait);
     }
 
@@ -471,6 +486,7 @@
         Call call = attempt.call;
         tell(now -> {
             long took = now - attempt.sentAt;
+            log.attemptEnded(attempt.id, attempt.number, loggedNames.get(attempt.upstream), outcome, took);
             call.ended(outcome, attempt.sentAt);
             if (call.left && !call.over) {
                 call.end();
@@ -480,7 +496,7 @@
                 observer.ended(list.name(attempt.upstream), call.job.requestClass(), outcome, took);
             }
             if (outcome == Outcome.OK) {
-                finish(attempt.id, call, () -> call.client.served(answer));
+                finish(attempt.id, call, "served", () -> call.client.served(answer));
             }
             rules.outcome(now, attempt.id, attempt.number, attempt.upstream, outcome, took, call.over, load);
             forget(attempt.id, call);
@@ -491,7 +507,7 @@
     public void refuse(long request, long wait) {
         Call call = calls.get(request);
         if (call != null) {
-            finish(request, call, () -> call.refused(wait));
+            finish(request, call, "refused", () -> call.refused(wait));
         }
     }
 
@@ -499,7 +515,7 @@
     public void fail(long request) {
         Call call = calls.get(request);
         if (call != null) {
-            finish(request, call, call::failed);
+            finish(request, call, "failed", call::failed);
         }
     }
 
