Read a client's socket before it is closed, and linger after its last response

Seen: requests that were taken ended with no whole answer. Forced over loopback: (1) with every place taken, an accept closed the connection idle longest although its next request lay unread, (2) the beginning of the draining closed an idle connection the same way, (3) an answer with 'Connection: close' was closed right after its last byte had gone to the kernel; whatever the client sent behind it reset the connection, and 957,082 of 1,000,000 bytes of a slow reader's answer were lost.

At fault: Frontend.makeRoom, drain, checkTime and answer, which judged by what had been read and closed with bytes unread. Now the socket is read first, and the last answer is followed by shutdownOutput and up to 1 s of reading on, as errors already were. Which connection makes room is decided by ConnectionTable, without I/O and without a walk over all connections for each accept.

--- a/src/main/java/pondridge/http1/Frontend.java
+++ b/src/main/java/pondridge/http1/Frontend.java
@@ -6,7 +6,6 @@
 import io.netty.buffer.Unpooled;
 import io.netty.channel.Channel;
 import io.netty.channel.ChannelFuture;
-import io.netty.channel.ChannelFutureListener;
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.ChannelInitializer;
 import io.netty.channel.ChannelOption;
@@ -44,8 +43,6 @@
 import java.nio.charset.StandardCharsets;
 import java.util.ArrayDeque;
 import java.util.HashSet;
-import java.util.LinkedHashSet;
-import java.util.List;
 import java.util.Set;
 import java.util.concurrent.TimeUnit;
 import pondridge.Options;
@@ -54,8 +51,10 @@
 import pondridge.core.Headers;
 import pondridge.core.Job;
 import pondridge.core.JobReader;
+import pondridge.core.RequestLog;
 import pondridge.core.Requests;
 import pondridge.core.Unread;
+import pondridge.http1.ConnectionTable.State;
 
 /**
  * The application's side: reads requests, answers each once, and tells malformed ones so itself. A client
@@ -64,24 +63,12 @@
  */
 public final class Frontend {
     private static final int LARGEST_BODY = 1 << 16;
-    /** From the connecting, on a used connection from the request's first byte, to its last one. */
-    private static final long REQUEST_TIME = 2_500_000_000L;
-    /** Clients keep connections; one that is not used for so long is not missed. */
-    private static final long IDLE_TIME = 3_000_000_000L;
-    /** A client that does not take its answer holds memory. */
-    private static final long TAKE_TIME = 5_000_000_000L;
-    /** After an error is told: a close with bytes unread would reset the connection and lose the error. */
-    private static final long LINGER_TIME = 1_000_000_000L;
     private static final int LINGER_BYTES = 1 << 20;
     /** A request's id is held to be in use for a while after its answer: clients never use one again. */
     private static final long ID_TIME = 2_000_000_000L;
-    /** A new connection's request comes at once; one that is silent for longer makes room first. */
-    private static final long SILENT_TIME = 100_000_000;
     private static final long SWEEP_MS = 100;
     /** So many are let in at a time: till the next turn those that make room keep their descriptors, too. */
     private static final int ACCEPTS = 4;
-    /** While draining: a connection just made whose request is on its way gets this long for it. */
-    private static final long NEW_TIME = 300_000_000;
     /**
      * What is held of requests that came behind an open one, so much for each connection in any case.
      * Danger: were a client read no further then, its leave would lie unseen behind what it sent.
@@ -94,9 +81,6 @@
     private static final int HEAD_BYTES = 2048;
     private static final int PART_BYTES = 256;
 
-    /** Where a connection is. Those before {@link #ASKED} may make room for others, the first one first. */
-    private enum Stage { LINGERING, SILENT, IDLE, NEW, READING, ASKED, ANSWERED }
-
     private record Past(String id, long at) { }
 
     private record Waiting(HttpObject message, long since) { }
@@ -104,7 +88,7 @@
     private final Requests engine;
     private final JobReader reader;
     private final int mostConnections;
-    private final Set<Connection> connections = new LinkedHashSet<>();
+    private final ConnectionTable<Connection> connections = new ConnectionTable<>();
     private final Set<String> ids = new HashSet<>();
     private final ArrayDeque<Past> past = new ArrayDeque<>();
     private int heldInAll;
@@ -112,6 +96,7 @@
     private boolean draining;
     private long acceptedAt = System.nanoTime();
     private Channel server;
+    private RequestLog log = RequestLog.NONE;
 
     /** A front that takes at most {@code mostConnections} clients at once. */
     public Frontend(Requests engine, Options options, int mostConnections) {
@@ -155,6 +140,11 @@
         return bound;
     }
 
+    /** Has closed connections logged; before {@link #listen}. */
+    public void log(RequestLog other) {
+        log = other;
+    }
+
     /** From now on {@code /up} says 200. */
     public void ready() {
         ready = true;
@@ -167,11 +157,7 @@
      */
     public void drain() {
         draining = true;
-        for (Connection connection : List.copyOf(connections)) {
-            if (connection.stage == Stage.IDLE) {
-                connection.channel.close();
-            }
-        }
+        connections.in(State.IDLE).forEach(idle -> idle.connection.closeIfQuiet("draining"));
     }
 
     /** For how many nanoseconds nobody has connected. */
@@ -187,33 +173,23 @@
 
     /** Whether no client is connected any more. */
     public boolean empty() {
-        return connections.isEmpty();
+        return connections.size() == 0;
     }
 
     /** Closes the connection that is missed least; false if each holds a whole request. */
     private boolean makeRoom() {
-        long now = System.nanoTime();
-        Connection least = null;
-        for (Connection each : connections) {
-            Stage stage = each.spare(now);
-            if (stage.compareTo(Stage.ASKED) < 0 && (least == null || stage.compareTo(least.spare(now)) < 0
-                    || stage == least.spare(now) && each.since < least.since)) {
-                least = each;
+        for (var least = connections.leastMissed(System.nanoTime()); least != null;
+                least = connections.leastMissed(System.nanoTime())) {
+            if (least.connection.closeIfQuiet("to make room")) {
+                return true;
             }
         }
-        if (least != null) {
-            // Danger: its end is told later in the turn, and it would make room for all that come in between.
-            connections.remove(least);
-            least.channel.close();
-        }
-        return least != null;
+        return false;
     }
 
     private void sweep() {
         long now = System.nanoTime();
-        for (Connection connection : List.copyOf(connections)) {
-            connection.checkTime(now);
-        }
+        connections.expired(now, draining).forEach(expired -> expired.connection.expire());
         while (!past.isEmpty() && now - past.peek().at > ID_TIME) {
             ids.remove(past.poll().id);
         }
@@ -229,8 +205,7 @@
         private int held;
         /** How long ago what is being taken has come. */
         private long waited;
-        private Stage stage = Stage.NEW;
-        private long since = System.nanoTime();
+        private final ConnectionTable.Entry<Connection> entry;
         private int lingered;
         private Job job;
         private ByteArrayOutputStream body;
@@ -240,14 +215,14 @@
 
         Connection(Channel channel) {
             this.channel = channel;
-            connections.add(this);
+            this.entry = connections.add(this, System.nanoTime());
         }
 
         /** Tells when the first byte of a request has come, and drops what follows one that was rejected. */
         private final class Decoder extends HttpRequestDecoder {
             @Override
             public void channelRead(ChannelHandlerContext context, Object message) throws Exception {
-                if (stage == Stage.LINGERING) {
+                if (in(State.LINGERING)) {
                     lingered += ((ByteBuf) message).readableBytes();
                     ReferenceCountUtil.release(message);
                     if (lingered > LINGER_BYTES) {
@@ -255,10 +230,10 @@
                     }
                     return;
                 }
-                if (stage == Stage.IDLE) {
-                    enter(Stage.READING);
-                } else if (stage == Stage.NEW) {
-                    stage = Stage.READING;
+                if (in(State.IDLE)) {
+                    enter(State.READING);
+                } else if (in(State.NEW)) {
+                    connections.enter(entry, State.READING, entry.since());
                 }
                 super.channelRead(context, message);
             }
@@ -270,37 +245,60 @@
             }
         }
 
-        private void enter(Stage next) {
-            stage = next;
-            since = System.nanoTime();
+        private boolean in(State state) {
+            return entry.state() == state;
         }
 
-        /** The stage, with a new connection that has been silent for long told from one just made. */
-        private Stage spare(long now) {
-            return stage == Stage.NEW && now - since > SILENT_TIME ? Stage.SILENT : stage;
+        private void enter(State next) {
+            connections.enter(entry, next, System.nanoTime());
         }
 
-        private void checkTime(long now) {
-            long limit = switch (stage) {
-                case LINGERING -> LINGER_TIME;
-                case IDLE -> IDLE_TIME;
-                case NEW -> draining ? NEW_TIME : REQUEST_TIME;
-                case ANSWERED -> TAKE_TIME;
-                case ASKED -> Long.MAX_VALUE;
-                default -> REQUEST_TIME;
-            };
-            if (now - since <= limit) {
+        /** It has been in its state for too long; what lies unread in its socket is read first. */
+        private void expire() {
+            State before = entry.state();
+            long since = entry.since();
+            if (!Unread.open(channel, true) || !in(before) || entry.since() != since) {
                 return;
             }
-            if (stage == Stage.READING) {
+            if (in(State.READING)) {
                 reject(HttpResponseStatus.REQUEST_TIMEOUT, "no whole request in time");
             } else {
-                channel.close();
+                close("time limit");
             }
         }
 
+        /**
+         * Closes the connection unless a request lies unread in its socket: after a stall of the loop a
+         * connection that looks idle may have sent one, and a close would reset it with no response.
+         *
+         * @return whether the connection is closed
+         */
+        private boolean closeIfQuiet(String reason) {
+            State before = entry.state();
+            long since = entry.since();
+            if (!Unread.open(channel, true)) {
+                connections.remove(entry);
+                return true;
+            }
+            if (!in(before) || entry.since() != since) {
+                return false;
+            }
+            close(reason);
+            return true;
+        }
+
+        private void close(String reason) {
+            if (log != RequestLog.NONE) {
+                log.connectionClosed(String.valueOf(channel.remoteAddress()), reason,
+                        entry.state().toString());
+            }
+            // Its end is told later in the turn; until then it would make room for all that come in between.
+            connections.remove(entry);
+            channel.close();
+        }
+
         private boolean occupied() {
-            return stage == Stage.ASKED || stage == Stage.ANSWERED;
+            return in(State.ASKED) || in(State.ANSWERED);
         }
 
         @Override
@@ -312,7 +310,7 @@
                 waiting.add(new Waiting(ReferenceCountUtil.retain(message), System.nanoTime()));
                 hold(size(message));
                 if (held > WAITING && (held > MOST_WAITING || heldInAll > WAITING_IN_ALL)) {
-                    channel.close();
+                    close("too much behind a request");
                 }
             } else {
                 take(message);
@@ -320,7 +318,7 @@
         }
 
         private void take(HttpObject message) {
-            if (stage == Stage.LINGERING || !channel.isActive()) {
+            if (in(State.LINGERING) || !channel.isActive()) {
                 return;
             }
             if (message.decoderResult().isFailure()) {
@@ -330,7 +328,7 @@
             if (message instanceof HttpRequest head) {
                 begin(head);
             }
-            if (message instanceof HttpContent content && stage != Stage.LINGERING) {
+            if (message instanceof HttpContent content && !in(State.LINGERING)) {
                 if (body.size() + content.content().readableBytes() > LARGEST_BODY) {
                     reject(HttpResponseStatus.REQUEST_ENTITY_TOO_LARGE, "body too large");
                     return;
@@ -344,7 +342,7 @@
 
         /** Looks at all that a request's head tells, so that the body of a bad one need not come. */
         private void begin(HttpRequest head) {
-            stage = Stage.READING;
+            connections.enter(entry, State.READING, entry.since());
             keepAlive = HttpUtil.isKeepAlive(head);
             job = null;
             body = new ByteArrayOutputStream(0);
@@ -387,10 +385,10 @@
             }
             job = null;
             body = null;
-            enter(Stage.ASKED);
+            enter(State.ASKED);
             long number = engine.submit(whole, this);
             // The answer may have come within that call.
-            if (stage == Stage.ASKED) {
+            if (in(State.ASKED)) {
                 request = number;
             }
         }
@@ -425,31 +423,42 @@
 
         private void answer(FullHttpResponse response) {
             forget();
-            enter(Stage.ANSWERED);
+            enter(State.ANSWERED);
             boolean keep = keepAlive && (!draining || !waiting.isEmpty());
             HttpUtil.setContentLength(response, response.content().readableBytes());
             if (!keep) {
                 response.headers().set(HttpHeaderNames.CONNECTION, HttpHeaderValues.CLOSE);
             }
-            ChannelFuture written = channel.writeAndFlush(response);
-            if (!keep) {
-                written.addListener(ChannelFutureListener.CLOSE);
-                return;
-            }
-            written.addListener(done -> {
-                if (!done.isSuccess() || draining && waiting.isEmpty()) {
-                    // Gone, and with it whoever sent what waits; or the draining began behind this answer.
-                    channel.close();
-                    return;
+            channel.writeAndFlush(response).addListener(done -> {
+                if (!done.isSuccess()) {
+                    close("response not written");
+                } else if (!keep) {
+                    linger();
+                } else {
+                    enter(State.IDLE);
+                    // Not from within this call: a row of requests would nest as deep as it is long.
+                    channel.eventLoop().execute(this::proceed);
                 }
-                enter(Stage.IDLE);
-                // Not from within this call: a row of requests would nest as deep as it is long.
-                channel.eventLoop().execute(this::proceed);
             });
         }
 
+        /**
+         * Ends the sending, and discards what still arrives until the client closes or its time is over: a
+         * close with bytes unread would reset the connection, and the client could lose its last response.
+         */
+        private void linger() {
+            enter(State.LINGERING);
+            drop();
+            ((DuplexChannel) channel).shutdownOutput();
+        }
+
         /** Goes on with what came meanwhile. */
         private void proceed() {
+            if (draining && waiting.isEmpty() && in(State.IDLE)) {
+                // The draining began while the response was being written.
+                closeIfQuiet("draining");
+                return;
+            }
             while (!waiting.isEmpty() && !occupied()) {
                 Waiting next = waiting.poll();
                 hold(-size(next.message));
@@ -476,7 +485,7 @@
 
         /** The request that was open is no more. */
         private void forget() {
-            if (stage == Stage.ASKED) {
+            if (in(State.ASKED)) {
                 past.add(new Past(id, System.nanoTime()));
             }
             request = 0;
@@ -484,7 +493,7 @@
 
         /** Tells an error, sends no more, and for a while reads on what is dropped unseen. */
         private void reject(HttpResponseStatus status, String text) {
-            enter(Stage.LINGERING);
+            enter(State.LINGERING);
             job = null;
             body = null;
             drop();
@@ -496,10 +505,10 @@
 
         @Override
         public void channelInactive(ChannelHandlerContext context) {
-            connections.remove(this);
+            connections.remove(entry);
             long open = request;
             forget();
-            enter(Stage.LINGERING);
+            enter(State.LINGERING);
             drop();
             if (open != 0) {
                 engine.hangup(open);
