--- a/src/main/java/pondridge/Rules.java
+++ b/src/main/java/pondridge/Rules.java
@@ -502,8 +502,15 @@
         private static final long UNANSWERED = 6_000_000_000L - 2_000_000_000L;
         /** From one call to the next at most, and half of that at least: three of them, and a call's wait. */
         private static final long EVERY = 1_200_000_000L;
-        /** What came by one break, or by one start, is spread over this. */
-        private static final long SPREAD = 750_000_000L;
+        /** What came by one break, or by one start, is spread over this at most. */
+        private static final long MOST_SPREAD = 750_000_000L;
+        /** What a break hid counts as told after a call's wait; the drain grace is what is left for it. */
+        private final long spread = Math.min(MOST_SPREAD, (long) (0.8 * settings.limits().drainGrace()));
+        /** Where many ask, who is refused at once leaves the turn to who has waited for up to so long. */
+        private static final long LONG_WAIT = 6_000_000_000L;
+        private static final double SLOWEST = 3;
+        /** So few have no need to: what they ask costs discovery little. */
+        private static final double FEW = 8;
         /** After a call that took longer than its turn: a silent one has used up half of the 6 s by then. */
         private static final long PAUSE = 200_000_000L;
         private final double factor = settings.limits().overloadFactor();
@@ -524,6 +531,7 @@
         private long asked;
         private long askedAt;
         private boolean failing;
+        private long failingSince;
         private boolean broken;
 
         void follow(long now) {
@@ -551,12 +559,21 @@
          */
         private void brokeAt(long now) {
             double draw = phases.nextDouble();
-            long turn = askedAt + (long) (EVERY * (1 + draw) / 2);
-            followAgain(Math.max(turn, now + (long) ((failing ? PAUSE : SPREAD) * draw)));
+            failingSince = failing ? failingSince : now;
+            boolean turnedAway = failing && now - askedAt < EVERY / 2;
+            double pace = turnedAway ? pace(now - failingSince) : 1;
+            long turn = askedAt + (long) (pace * EVERY * (1 + draw) / 2);
+            followAgain(Math.max(turn, now + (long) ((failing ? PAUSE : spread) * draw)));
             failing = true;
             broken = true;
         }
 
+        /** How many times the usual time between two calls, for who has had no answer for so long. */
+        private double pace(long waited) {
+            double first = Math.max(1, Math.min(SLOWEST, settings.replicas() / FEW));
+            return Math.max(1, first - (first - 1) * waited / LONG_WAIT);
+        }
+
         void listChanged(long now, ListKind kind, List<Upstream> entries) {
             if (kind == ListKind.FAILED) {
                 if (!broken) {
--- a/src/test/java/pondridge/sidecar/DiscoveryTest.java
+++ b/src/test/java/pondridge/sidecar/DiscoveryTest.java
@@ -142,6 +142,107 @@
         }
     }
 
+    /** A call that waits for its answer when another service is configured keeps its place in the queue. */
+    @Test
+    void aCallThatWaitsIsAnsweredBeforeTheNewServiceIsAsked() throws Exception {
+        CountDownLatch configured = new CountDownLatch(1);
+        String without = "{\"rev\":43,\"all\":true,\"targets\":[]}\n";
+        try (Stub old = new Stub((socket, head) -> {
+            try {
+                assertTrue(configured.await(Stub.LIMIT_S, TimeUnit.SECONDS));
+            } catch (InterruptedException e) {
+                return false;
+            }
+            Stub.write(socket, CHUNKED + chunk(without));
+            return true;
+        }); Stub next = new Stub((socket, head) -> Stub.reply(socket, "503 No", "", ""))) {
+            Discovery discovery = discovery(old);
+            loop.execute(() -> discovery.watch(true));
+            Stub.next(old.heads);
+            loop.submit(() -> discovery.move(next.address())).sync();
+            assertEquals(0, next.heads.size());
+            configured.countDown();
+            assertEquals(new Told(ListKind.FULL, List.of()), Stub.next(told), "the old one's answer");
+            assertEquals(ListKind.FAILED, Stub.next(told).kind, "then the new one refuses");
+            assertTrue(Stub.next(next.heads).contains("from=0 "), "a version of the old one");
+        }
+    }
+
+    /** An old service that never answers delays the move for a bounded time, and is heard no more then. */
+    @Test
+    void theNewServiceIsAskedInTimeThoughTheOldOneIsSilent() throws Exception {
+        String whole = "{\"rev\":3,\"all\":true,\"targets\":[]}\n";
+        try (Stub old = new Stub((socket, head) -> true); Stub next = new Stub((socket, head) -> {
+            Stub.write(socket, CHUNKED + chunk(whole));
+            return true;
+        })) {
+            Discovery discovery = discovery(old);
+            loop.execute(() -> discovery.watch(true));
+            Stub.next(old.heads);
+            // Timers of one loop fire in order, whatever the machine's speed.
+            loop.execute(() -> {
+                discovery.move(next.address());
+                loop.schedule(() -> told.add(new Told(ListKind.CACHED, List.of())), 2_300,
+                        TimeUnit.MILLISECONDS);
+            });
+            assertEquals(ListKind.FULL, Stub.next(told).kind, "before 2.3 s are over");
+            assertEquals(ListKind.CACHED, Stub.next(told).kind);
+            assertEquals("end", Stub.next(old.ended));
+        }
+    }
+
+    /** Asked for again while it waits for its first answer, a watch is not replaced. */
+    @Test
+    void aWatchThatWaitsIsNotReplaced() throws Exception {
+        CountDownLatch again = new CountDownLatch(1);
+        try (Stub stub = new Stub((socket, head) -> {
+            try {
+                assertTrue(again.await(Stub.LIMIT_S, TimeUnit.SECONDS));
+            } catch (InterruptedException e) {
+                return false;
+            }
+            Stub.write(socket, CHUNKED + chunk("\n"));
+            return true;
+        })) {
+            Discovery discovery = discovery(stub);
+            loop.execute(() -> discovery.watch(true));
+            Stub.next(stub.heads);
+            loop.submit(() -> discovery.watch(true)).sync();
+            again.countDown();
+            assertEquals(ListKind.DELTA, Stub.next(told).kind);
+            assertEquals(0, stub.heads.size());
+            assertEquals(0, told.size());
+        }
+    }
+
+    /** The old service's end after a move is no failure of the new one, which is asked once only. */
+    @Test
+    void theOldServicesEndAfterAMoveIsNoFailure() throws Exception {
+        CountDownLatch ended = new CountDownLatch(1);
+        String whole = "{\"rev\":3,\"all\":true,\"targets\":[]}\n";
+        try (Stub old = new Stub((socket, head) -> true); Stub next = new Stub((socket, head) -> {
+            try {
+                assertTrue(ended.await(Stub.LIMIT_S, TimeUnit.SECONDS));
+            } catch (InterruptedException e) {
+                return false;
+            }
+            Stub.write(socket, CHUNKED + chunk(whole));
+            return true;
+        })) {
+            Discovery discovery = discovery(old);
+            loop.execute(() -> discovery.watch(true));
+            Stub.next(old.heads);
+            loop.execute(() -> discovery.move(next.address()));
+            Stub.next(next.heads);
+            old.die();
+            Stub.next(old.ended);
+            ended.countDown();
+            assertEquals(ListKind.FULL, Stub.next(told).kind);
+            assertEquals(0, told.size());
+            assertEquals(0, next.heads.size());
+        }
+    }
+
     /** A new service that tells changes only leaves open who is gone: the whole list is asked for besides. */
     @Test
     void movedWatchThatTellsOnlyChangesIsFollowedByTheWholeList() throws Exception {
