--- a/src/main/java/pondridge/sidecar/Main.java
+++ b/src/main/java/pondridge/sidecar/Main.java
@@ -16,6 +16,7 @@
 import pondridge.Balancer.RequestClass;
 import pondridge.control.Following;
 import pondridge.core.Engine;
+import pondridge.core.RequestLog;
 import pondridge.core.Transport;
 import pondridge.http1.Frontend;
 import pondridge.http1.Upstreams;
@@ -134,6 +135,10 @@
         Discovery discovery = new Discovery(loop, config.discovery(), config.pushed(),
                 config.known().rev(), engine::listed);
         Frontend frontend = new Frontend(engine, config.options(), config.mostClients());
+        RequestLog log = RequestLog.fromEnvironment();
+        engine.log(log);
+        discovery.log(log);
+        frontend.log(log);
         if (settings != null && settings.control() != null) {
             Following.begin(loop, engine, settings.control(), config.known().targets());
         } else {
