Move what estimates out of the decision module: service time, slowdown, decaying sum

Usual, Pace and FadingSum are ServiceTimeEstimate, SlowdownEstimate and DecayingSum now, by the field's words; no behaviour in it.

--- a/src/main/java/pondridge/FadingSum.java
+++ b/src/main/java/pondridge/DecayingSum.java
@@ -1,13 +1,13 @@
 package pondridge;
 
 /** A sum that forgets: what was added a window ago counts by 1/e. */
-final class FadingSum {
+final class DecayingSum {
     private final double window;
     private double value;
     private long at;
 
     /** Starts at {@code first}, which counts in full until something is added. */
-    FadingSum(double window, double first) {
+    DecayingSum(double window, double first) {
         this.window = window;
         this.value = first;
     }
--- a/src/main/java/pondridge/Rules.java
+++ b/src/main/java/pondridge/Rules.java
@@ -252,8 +252,8 @@
 
     /** What is known of one upstream. */
     private static final class Server {
-        final FadingSum served;
-        final FadingSum answered;
+        final DecayingSum served;
+        final DecayingSum answered;
         Upstream entry;
         int inFlight;
         long coldUntil;
@@ -277,8 +277,8 @@
         final List<Call> askers = new ArrayList<>(2);
 
         Server(Upstream entry, long now, Limits limits) {
-            this.served = new FadingSum(Math.max(1, limits.rampTime()), 0);
-            this.answered = new FadingSum(Math.max(1, limits.tipAfter() / 3), 0);
+            this.served = new DecayingSum(Math.max(1, limits.rampTime()), 0);
+            this.answered = new DecayingSum(Math.max(1, limits.tipAfter() / 3), 0);
             this.entry = entry;
             this.integratedAt = now;
             this.coldAt = now;
@@ -520,7 +520,7 @@
         private final double growth = Math.min(2, factor - 1);
         /** Part of a window that may be saved up, beside the rate. */
         private final double saved = Math.max(0.1, Math.min(0.5, factor / Math.max(lift, growth) - 1));
-        private final FadingSum served = new FadingSum(Math.max(1, settings.limits().rampTime()), 0);
+        private final DecayingSum served = new DecayingSum(Math.max(1, settings.limits().rampTime()), 0);
         private long warm;
         private double comparable;
         private double remembered;
@@ -721,64 +721,16 @@
         }
     }
 
-    /** Usual time to an answer of one class, and its growth with the hinted cost by least squares. */
-    private static final class Usual {
-        /** About the last 50 answers. */
-        private static final double NEW = 0.02;
-        double mean;
-        /** Long ago at first: what it starts from has not been seen. */
-        long learnedAt = Long.MIN_VALUE / 2;
-        private long seen;
-        private double cost;
-        private double square;
-        private double cross;
-
-        Usual(double first) {
-            mean = first;
-        }
-
-        void learn(long now, double took, double hint) {
-            learnedAt = now;
-            // Cut at three times the expected: one slow server must not become what is usual.
-            double time = Math.min(took, 3 * expected(hint));
-            double part = Math.max(NEW, 1.0 / ++seen);
-            mean += part * (time - mean);
-            cost += part * (hint - cost);
-            square += part * (hint * hint - square);
-            cross += part * (time * hint - cross);
-        }
-
-        double expected(double hint) {
-            double spread = square - cost * cost;
-            if (hint <= 0 || spread <= 0) {
-                return mean;
-            }
-            double slope = Math.max(0, (cross - mean * cost) / spread);
-            return Math.max(mean / 4, mean + slope * (hint - cost));
-        }
-    }
-
-    /** What servers of one kind take to answer, in parts of what the class usually takes on any. */
-    private static final class Pace {
-        private double mean = 1;
-        private double seen = 2;
-
-        void learn(double ratio) {
-            seen++;
-            mean += Math.max(0.03, 1 / seen) * (Math.min(ratio, 4) - mean);
-        }
-    }
-
     /** Evidence about each server, from this sidecar's own attempts. */
     private final class Health {
         /** Part of the aim: a kind that takes no more is far from its limit and takes every turn. */
         private static final double EASY = 0.25;
         private static final double STEEP = 1.4;
-        private final Map<Integer, Pace> paces = new TreeMap<>();
+        private final Map<Integer, SlowdownEstimate> paces = new TreeMap<>();
         private double fastest = 1;
 
-        Pace pace(Server server) {
-            return paces.computeIfAbsent(server.entry.kind(), kind -> new Pace());
+        SlowdownEstimate pace(Server server) {
+            return paces.computeIfAbsent(server.entry.kind(), kind -> new SlowdownEstimate());
         }
 
         /**
@@ -802,7 +754,7 @@
         /** Machines of one fleet differ about twofold from their mean; beyond that it is a fault. */
         private static final double SLOW = 2;
         /** Of each class, over all servers, starting from a tenth of its aim. */
-        private final Usual[] usual = new Usual[settings.classes().size()];
+        private final ServiceTimeEstimate[] usual = new ServiceTimeEstimate[settings.classes().size()];
         private final long firstBackoff;
         /** What is said beyond the worst that can be is not believed. */
         private static final long LONGEST_BACKOFF = 8;
@@ -810,7 +762,7 @@
 
         Health() {
             for (int i = 0; i < usual.length; i++) {
-                usual[i] = new Usual(settings.classes().get(i).aim() / 10.0);
+                usual[i] = new ServiceTimeEstimate(settings.classes().get(i).aim() / 10.0);
             }
             firstBackoff = settings.classes().stream().mapToLong(RequestClass::aim).min().orElse(1);
         }
@@ -973,12 +925,12 @@
          */
         private final ArrayDeque<Call> held = new ArrayDeque<>();
         private final double quota;
-        private final FadingSum spent;
+        private final DecayingSum spent;
         private long skippedAt;
 
         Share(double quota, double window) {
             this.quota = quota;
-            this.spent = new FadingSum(window, 0);
+            this.spent = new DecayingSum(window, 0);
         }
 
         double used(long now) {
@@ -1040,9 +992,9 @@
         /** The rest always goes, else nothing would tell when the servers have room again. */
         private static final double MOST_SHED = 0.9;
         /** Over eight aims: ten requests at a few a second; one is taken for good at first. */
-        private final FadingSum tried = new FadingSum(8.0 * health.firstBackoff, 1);
-        private final FadingSum inTime = new FadingSum(8.0 * health.firstBackoff, 1);
-        private final FadingSum rejected = new FadingSum(8.0 * health.firstBackoff, 0);
+        private final DecayingSum tried = new DecayingSum(8.0 * health.firstBackoff, 1);
+        private final DecayingSum inTime = new DecayingSum(8.0 * health.firstBackoff, 1);
+        private final DecayingSum rejected = new DecayingSum(8.0 * health.firstBackoff, 0);
 
         Admission() {
             for (int i = 0; i < shares.length; i++) {
@@ -1180,7 +1132,7 @@
             inTime.add(now, outcome == Outcome.OK && now <= call.aimAt ? call.standsFor : 0);
             call.counted = true;
             rejected.add(now, outcome == Outcome.REJECTED ? 1 : 0);
-            Usual usual = health.usual[call.request.requestClass()];
+            ServiceTimeEstimate usual = health.usual[call.request.requestClass()];
             double scaled = (now - attempt.sentAt) * usual.mean / call.expected;
             if (outcome == Outcome.REJECTED || scaled > LATE * call.aim) {
                 if (attempt.sentAt >= server.lastCut) {
