--- a/src/main/java/pondridge/Alarms.java
+++ b/src/main/java/pondridge/Alarms.java
@@ -5,10 +5,10 @@
 
 /** Alarms of the module behind one timer of the host. A queue of times: it decides nothing. */
 final class Alarms {
-    private record Alarm(long at, long serial, LongConsumer what) { }
+    private record Alarm(long at, long serial, LongConsumer what) {}
 
-    private final PriorityQueue<Alarm> queue = new PriorityQueue<>((a, b) ->
-            a.at != b.at ? Long.compare(a.at, b.at) : Long.compare(a.serial, b.serial));
+    private final PriorityQueue<Alarm> queue =
+            new PriorityQueue<>((a, b) -> a.at != b.at ? Long.compare(a.at, b.at) : Long.compare(a.serial, b.serial));
     private long serials;
     private long timerAt = Long.MAX_VALUE;
     private long timerToken;
--- a/src/main/java/pondridge/Balancer.java
+++ b/src/main/java/pondridge/Balancer.java
@@ -55,25 +55,50 @@
     }
 
     /** What a class of request allows after an attempt that may have run. */
-    enum Semantics { REPEATABLE, BY_KEY, ONCE }
+    enum Semantics {
+        REPEATABLE,
+        BY_KEY,
+        ONCE
+    }
 
     /** Which upstreams drop a repeat of a keyed request: all, those of one zone, those of one cell. */
-    enum Scope { ALL, ZONE, CELL }
+    enum Scope {
+        ALL,
+        ZONE,
+        CELL
+    }
 
     /** State of an upstream in a list. */
-    enum State { GONE, READY, DRAINING }
+    enum State {
+        GONE,
+        READY,
+        DRAINING
+    }
 
     /**
      * Kind of a list event: changes only, everything, the last list known before a start, or a failed
      * call.
      */
-    enum ListKind { DELTA, FULL, CACHED, FAILED }
+    enum ListKind {
+        DELTA,
+        FULL,
+        CACHED,
+        FAILED
+    }
 
     /** Whether the list comes by itself or must be subscribed to. */
-    enum Discovery { AUTOMATIC, SUBSCRIBE }
+    enum Discovery {
+        AUTOMATIC,
+        SUBSCRIBE
+    }
 
     /** What {@link Upstream#weight()} holds; LIVE changes with the load, SILENT is always 1. */
-    enum Weights { SILENT, NOMINAL, ROUGH, LIVE }
+    enum Weights {
+        SILENT,
+        NOMINAL,
+        ROUGH,
+        LIVE
+    }
 
     /**
      * A class of request; times in nanoseconds.
@@ -85,8 +110,16 @@
      * @param keyTtl for BY_KEY: how long repeats are dropped, from the first send that may have run
      * @param stream the answer streams: {@link Balancer#firstByte} tells of its start
      */
-    record RequestClass(long aim, double aimStretch, long deadline, double worth, double lateShare,
-            Semantics semantics, Scope scope, long keyTtl, boolean stream) {
+    record RequestClass(
+            long aim,
+            double aimStretch,
+            long deadline,
+            double worth,
+            double lateShare,
+            Semantics semantics,
+            Scope scope,
+            long keyTtl,
+            boolean stream) {
         public RequestClass {
             require(aim > 0, "class aim");
             require(deadline >= aim, "class deadline");
@@ -109,8 +142,15 @@
      * What the host allows; a disallowed action is never asked for. {@link Rules} makes no use of
      * peers or parallel tries so far.
      */
-    record Allowed(boolean cancel, boolean probes, boolean peers, boolean parallelTries, boolean retryAfter,
-            int tryLimit, long maxRetryAfter, long connectTimeout) {
+    record Allowed(
+            boolean cancel,
+            boolean probes,
+            boolean peers,
+            boolean parallelTries,
+            boolean retryAfter,
+            int tryLimit,
+            long maxRetryAfter,
+            long connectTimeout) {
         public Allowed {
             require(tryLimit >= 1, "try limit");
             require(maxRetryAfter >= 0 && connectTimeout >= 0, "retry-after and connect time-out");
@@ -128,8 +168,14 @@
     }
 
     /** The numbers behind the four rules; times in nanoseconds. */
-    record Limits(long answerSlack, long askWithin, long drainGrace, double coldShare, long rampTime,
-            double overloadFactor, long tipAfter) {
+    record Limits(
+            long answerSlack,
+            long askWithin,
+            long drainGrace,
+            double coldShare,
+            long rampTime,
+            double overloadFactor,
+            long tipAfter) {
         public Limits {
             require(answerSlack >= 0 && askWithin >= 0 && drainGrace >= 0, "rule times");
             require(coldShare > 0 && coldShare <= 1, "cold share");
@@ -148,9 +194,21 @@
      * @param valueByWork worth counts per unit of work, not per request
      * @param overShareWorth what a request beyond its tenant's quota is worth, as a part of its class's worth
      */
-    record Settings(int rank, int replicas, int zone, long quantum, Discovery discovery, Weights weights,
-            List<RequestClass> classes, List<Tenant> tenants, Allowed allowed, Limits limits,
-            List<String> reportFields, Charges charges, boolean valueByWork, double overShareWorth) {
+    record Settings(
+            int rank,
+            int replicas,
+            int zone,
+            long quantum,
+            Discovery discovery,
+            Weights weights,
+            List<RequestClass> classes,
+            List<Tenant> tenants,
+            Allowed allowed,
+            Limits limits,
+            List<String> reportFields,
+            Charges charges,
+            boolean valueByWork,
+            double overShareWorth) {
         public Settings {
             require(replicas >= 1 && rank >= 0, "rank and replicas");
             require(quantum >= 0, "quantum");
@@ -182,8 +240,15 @@
      * @param costHint rough work to expect in nanoseconds; 0 where unknown
      * @param clientRetry the client marked it as a repeat
      */
-    record Request(long id, int requestClass, int tenant, long key, long timeLeft, long costHint,
-            boolean clientRetry, boolean write) { }
+    record Request(
+            long id,
+            int requestClass,
+            int tenant,
+            long key,
+            long timeLeft,
+            long costHint,
+            boolean clientRetry,
+            boolean write) {}
 
     /** What an instance orders. The host carries each out at the time of the event being handled. */
     interface Actions {
@@ -237,8 +302,15 @@
     void firstByte(long now, long request, int attempt, long upstream, long elapsed);
 
     /** An attempt has ended; {@code ended} says that the request has, by this outcome or before. */
-    void outcome(long now, long request, int attempt, long upstream, Outcome outcome, long elapsed,
-            boolean ended, float[] load);
+    void outcome(
+            long now,
+            long request,
+            int attempt,
+            long upstream,
+            Outcome outcome,
+            long elapsed,
+            boolean ended,
+            float[] load);
 
     /** The client has left. */
     void hangup(long now, long request);
@@ -247,10 +319,10 @@
     void timer(long now, long token);
 
     /** A probe's result. */
-    default void probeResult(long now, long upstream, Outcome outcome, long elapsed, float[] load) { }
+    default void probeResult(long now, long upstream, Outcome outcome, long elapsed, float[] load) {}
 
     /** The host ends soon: what is open at {@code at} gets its answer then, whatever time it has left. */
-    default void ending(long now, long at) { }
+    default void ending(long now, long at) {}
 
     /** Who a message is {@code from} that tells what others see of upstreams. */
     int HEARSAY = 0;
@@ -258,7 +330,7 @@
     int LEASES = 1;
 
     /** A message from other sidecars of this tier, see {@link #HEARSAY} and {@link #LEASES}. */
-    default void peerMessage(long now, int from, byte[] message) { }
+    default void peerMessage(long now, int from, byte[] message) {}
 
     private static void require(boolean holds, String setting) {
         if (!holds) {
--- a/src/main/java/pondridge/Options.java
+++ b/src/main/java/pondridge/Options.java
@@ -24,6 +24,7 @@
 public final class Options {
     /** In nanoseconds; where the settings bind nobody to ask. */
     private static final double ASK_WITHIN = 10e9;
+
     private final Map<String, String> values = new HashMap<>();
 
     /** Reads one path=value a line. */
@@ -31,7 +32,9 @@
         for (String line : text.split("\n")) {
             int equals = line.indexOf('=');
             if (equals > 0) {
-                values.put(line.substring(0, equals).trim(), line.substring(equals + 1).trim());
+                values.put(
+                        line.substring(0, equals).trim(),
+                        line.substring(equals + 1).trim());
             }
         }
     }
@@ -63,35 +66,59 @@
             String path = "parties." + i + ".";
             tenants.add(new Tenant(number(path + "portion", 0), number(path + "quotaRps", 0)));
         }
-        return new Settings((int) number("rank", 0), (int) number("replicasOfMe", 1), (int) number("zone", 0),
-                (long) number("quantum", 0), choice(Discovery.class, "discovery", Discovery.AUTOMATIC),
-                choice(Weights.class, "weights", Weights.SILENT), classes, tenants,
-                allowed(), limits(), list("report.fields"),
+        return new Settings(
+                (int) number("rank", 0),
+                (int) number("replicasOfMe", 1),
+                (int) number("zone", 0),
+                (long) number("quantum", 0),
+                choice(Discovery.class, "discovery", Discovery.AUTOMATIC),
+                choice(Weights.class, "weights", Weights.SILENT),
+                classes,
+                tenants,
+                allowed(),
+                limits(),
+                list("report.fields"),
                 new Charges(number("charges.probe", 0), number("charges.peer", 0)),
-                "work".equals(values.get("valueBy")), number("overShareWorth", 1));
+                "work".equals(values.get("valueBy")),
+                number("overShareWorth", 1));
     }
 
     private RequestClass requestClass(String path) {
         Semantics semantics = choice(Semantics.class, path + "semantics", null);
-        return new RequestClass((long) required(path + "slo"), number(path + "aimStretch", 0),
-                (long) required(path + "deadline"), number(path + "worth", 1), number(path + "lateShare", 0),
-                semantics, choice(Scope.class, path + "keyScope", Scope.CELL),
-                (long) number(path + "keyTtl", 0), flag(path + "stream"));
+        return new RequestClass(
+                (long) required(path + "slo"),
+                number(path + "aimStretch", 0),
+                (long) required(path + "deadline"),
+                number(path + "worth", 1),
+                number(path + "lateShare", 0),
+                semantics,
+                choice(Scope.class, path + "keyScope", Scope.CELL),
+                (long) number(path + "keyTtl", 0),
+                flag(path + "stream"));
     }
 
     private Allowed allowed() {
-        return new Allowed(flag("caps.mayCancel"), flag("caps.mayProbe"), flag("caps.peers"),
-                flag("caps.parallelTries"), flag("caps.retryAfter"), (int) number("caps.tryLimit", 1),
-                (long) number("caps.maxRetryAfter", 0), (long) number("caps.connectTimeout", 0));
+        return new Allowed(
+                flag("caps.mayCancel"),
+                flag("caps.mayProbe"),
+                flag("caps.peers"),
+                flag("caps.parallelTries"),
+                flag("caps.retryAfter"),
+                (int) number("caps.tryLimit", 1),
+                (long) number("caps.maxRetryAfter", 0),
+                (long) number("caps.connectTimeout", 0));
     }
 
     private Limits limits() {
         // Danger: with no time between two calls the module would ask again and again in one event.
         double askWithin = number("rules.askWithin", 0);
-        return new Limits((long) required("rules.answerSlack"),
+        return new Limits(
+                (long) required("rules.answerSlack"),
                 (long) (askWithin > 0 ? askWithin : ASK_WITHIN),
-                (long) required("rules.stopSendingWithin"), required("rules.coldShare"),
-                (long) required("rules.rampTime"), required("rules.overloadFactor"),
+                (long) required("rules.stopSendingWithin"),
+                required("rules.coldShare"),
+                (long) required("rules.rampTime"),
+                required("rules.overloadFactor"),
                 (long) required("rules.tipAfter"));
     }
 
--- a/src/main/java/pondridge/Rules.java
+++ b/src/main/java/pondridge/Rules.java
@@ -27,6 +27,7 @@
     private final Random random;
     /** Mixes its seed: a plain one's first draws for seeds that are numbered through all but agree. */
     private final SplittableRandom phases;
+
     private final Pattern pattern = new Pattern();
     private final Ledger ledger = new Ledger();
     private final Roster roster;
@@ -81,8 +82,15 @@
     }
 
     @Override
-    public void outcome(long now, long request, int attempt, long upstream, Outcome outcome, long elapsed,
-            boolean ended, float[] load) {
+    public void outcome(
+            long now,
+            long request,
+            int attempt,
+            long upstream,
+            Outcome outcome,
+            long elapsed,
+            boolean ended,
+            float[] load) {
         admission.level.told(now, load);
         ledger.outcome(now, request, attempt, outcome, ended);
         admission.drain(now);
@@ -110,8 +118,11 @@
             Server server = roster.servers.get(told.getLong());
             double count = told.getFloat();
             int millis = told.getInt();
-            if (server != null && count >= 0 && count <= Roster.MOST_LEASED
-                    && millis > 0 && millis <= Roster.LONGEST_LEASE) {
+            if (server != null
+                    && count >= 0
+                    && count <= Roster.MOST_LEASED
+                    && millis > 0
+                    && millis <= Roster.LONGEST_LEASE) {
                 server.lease = new Lease(count, now, now + millis * 1_000_000L, random.nextDouble());
             }
         }
@@ -137,11 +148,13 @@
     /** Danger: what waits on a server that hangs, until after the end, would get no answer at all. */
     @Override
     public void ending(long now, long at) {
-        ledger.calls.values().forEach(call -> alarms.set(at, then -> {
-            if (!call.streaming) {
-                ledger.answer(call);
-            }
-        }));
+        ledger.calls
+                .values()
+                .forEach(call -> alarms.set(at, then -> {
+                    if (!call.streaming) {
+                        ledger.answer(call);
+                    }
+                }));
         alarms.flush();
     }
 
@@ -304,6 +317,7 @@
     private static final class Call {
         /** In expected times: what waits until less is left is late half the time. */
         static final double MOST_IN_TIME = 1.5;
+
         final Request request;
         final RequestClass kind;
         final long deadline;
@@ -322,6 +336,7 @@
         double least;
         /** How many requests like it came for each that was let through. */
         double standsFor = 1;
+
         boolean counted;
 
         Call(Request request, RequestClass kind, long now, long elapsed) {
@@ -344,18 +359,20 @@
         private final Map<Long, Call> calls = new HashMap<>();
 
         Call open(long now, Request request) {
-            Call call = new Call(request, settings.classes().get(request.requestClass()), now,
-                    admission.elapsed(now, request));
+            Call call = new Call(
+                    request, settings.classes().get(request.requestClass()), now, admission.elapsed(now, request));
             // Danger: answers of no time would bring alarms an expected time apart to a stand.
-            call.expected = Math.max(call.aim / 1000.0,
-                    health.usual[request.requestClass()].expected(request.costHint()));
+            call.expected =
+                    Math.max(call.aim / 1000.0, health.usual[request.requestClass()].expected(request.costHint()));
             // A later try is the client's last: half the expected will do. One of little patience is worked
             // on also when its client has gone, so most must be in time. Danger: where all are so, nothing
             // would ever show that answers are fast again; what nothing has shown for an aim is not held so.
-            boolean hasty = call.aimAt == call.deadline && request.timeLeft() < call.aim
+            boolean hasty = call.aimAt == call.deadline
+                    && request.timeLeft() < call.aim
                     && now - health.usual[request.requestClass()].learnedAt < call.aim;
             // Danger: a class held to take longer than two aims would send nothing, and never learn better.
-            call.least = hasty ? Call.MOST_IN_TIME * call.expected
+            call.least = hasty
+                    ? Call.MOST_IN_TIME * call.expected
                     : 0.5 * Math.min(call.expected, Math.min(call.aim, request.timeLeft()));
             calls.put(request.id(), call);
             alarms.set(call.deadline, at -> {
@@ -378,17 +395,21 @@
 
         /** Whether some further attempt is allowed now, whichever server it goes to. */
         boolean mayTryAgain(long now, Call call) {
-            if (call.closed || call.streaming || now >= call.deadline
-                    || call.waiting() || call.attempts.size() >= settings.allowed().tryLimit()) {
+            if (call.closed
+                    || call.streaming
+                    || now >= call.deadline
+                    || call.waiting()
+                    || call.attempts.size() >= settings.allowed().tryLimit()) {
                 return false;
             }
             Attempt doubt = firstDoubt(call);
-            return doubt == null || switch (call.kind.semantics()) {
-                case REPEATABLE -> true;
-                case ONCE -> false;
-                // One quantum is kept back: the send takes effect at the end of this batch.
-                case BY_KEY -> now + settings.quantum() < doubt.sentAt + call.kind.keyTtl();
-            };
+            return doubt == null
+                    || switch (call.kind.semantics()) {
+                        case REPEATABLE -> true;
+                        case ONCE -> false;
+                            // One quantum is kept back: the send takes effect at the end of this batch.
+                        case BY_KEY -> now + settings.quantum() < doubt.sentAt + call.kind.keyTtl();
+                    };
         }
 
         /** Whether the next attempt, if there may be one, may go to this server. */
@@ -451,7 +472,8 @@
                 return;
             }
             // Danger: held for a further attempt with every server tried, it would wait in vain.
-            if (mayTryAgain(now, call) && roster.ready.stream().anyMatch(next -> mayGoTo(call, next))
+            if (mayTryAgain(now, call)
+                    && roster.ready.stream().anyMatch(next -> mayGoTo(call, next))
                     && admission.worthRetry(now, call)) {
                 admission.admit(now, call);
             } else {
@@ -464,7 +486,8 @@
             if (call.closed) {
                 return;
             }
-            boolean harmless = firstDoubt(call) == null || call.kind.semantics() == Semantics.REPEATABLE
+            boolean harmless = firstDoubt(call) == null
+                    || call.kind.semantics() == Semantics.REPEATABLE
                     || call.kind.semantics() == Semantics.BY_KEY && call.kind.scope() == Scope.ALL;
             if (harmless) {
                 actions.refuse(call.request.id(), admission.stayAway(call));
@@ -479,7 +502,10 @@
             if (!call.closed && !served) {
                 admission.unserved.add(call);
             }
-            if (!call.closed && call.waiting() && !call.streaming && settings.allowed().cancel()) {
+            if (!call.closed
+                    && call.waiting()
+                    && !call.streaming
+                    && settings.allowed().cancel()) {
                 actions.cancel(call.request.id(), call.attempts.size() - 1);
             }
             call.closed = true;
@@ -494,6 +520,7 @@
     private final class Roster {
         /** What is lent beyond these is not believed. */
         static final double MOST_LEASED = 1e6;
+
         static final int LONGEST_LEASE = 60_000;
         private final TreeMap<Long, Server> servers = new TreeMap<>();
         private List<Server> ready = List.of();
@@ -505,14 +532,17 @@
         /** What came by one break, or by one start, is spread over this at most. */
         private static final long MOST_SPREAD = 750_000_000L;
         /** What a break hid counts as told after a call's wait; the drain grace is what is left for it. */
-        private final long spread = Math.min(MOST_SPREAD, (long) (0.8 * settings.limits().drainGrace()));
+        private final long spread =
+                Math.min(MOST_SPREAD, (long) (0.8 * settings.limits().drainGrace()));
         /** Where many ask, who is refused at once leaves the turn to who has waited for up to so long. */
         private static final long LONG_WAIT = 6_000_000_000L;
+
         private static final double SLOWEST = 3;
         /** So few have no need to: what they ask costs discovery little. */
         private static final double FEW = 8;
         /** After a call that took longer than its turn: a silent one has used up half of the 6 s by then. */
         private static final long PAUSE = 200_000_000L;
+
         private final double factor = settings.limits().overloadFactor();
         /** How many times over what was seen of warm ones may be taken: half of what a cold one bears. */
         private final double lift = Math.max(1, factor / 2);
@@ -520,7 +550,9 @@
         private final double growth = Math.min(2, factor - 1);
         /** Part of a window that may be saved up, beside the rate. */
         private final double saved = Math.max(0.1, Math.min(0.5, factor / Math.max(lift, growth) - 1));
-        private final DecayingSum served = new DecayingSum(Math.max(1, settings.limits().rampTime()), 0);
+
+        private final DecayingSum served =
+                new DecayingSum(Math.max(1, settings.limits().rampTime()), 0);
         private long warm;
         private double comparable;
         private double remembered;
@@ -600,7 +632,9 @@
             }
             listed = true;
             if (changed) {
-                ready = servers.values().stream().filter(s -> s.entry.state() == State.READY).toList();
+                ready = servers.values().stream()
+                        .filter(s -> s.entry.state() == State.READY)
+                        .toList();
                 pattern.redraw(ready);
             }
         }
@@ -638,7 +672,8 @@
                 // up always; one that ends leaves the own part, which was charged meanwhile.
                 return server.lease.allows(now) && server.inFlight <= 1 + server.limit / 2;
             }
-            double age = 1 - (server.coldUntil - now) / (double) settings.limits().rampTime();
+            double age =
+                    1 - (server.coldUntil - now) / (double) settings.limits().rampTime();
             double cold = settings.limits().coldShare();
             double part = cold + (1 - cold) * Math.max(0, Math.min(1, age));
             compare(now);
@@ -652,20 +687,21 @@
                 // What one core does is counted in times that were guessed until a cold one has answered.
                 double core = 1.0 / Math.max(1, settings.replicas());
                 double met = server.answered.value(now);
-                rate = Math.max(remembered > 0 ? lift * Math.max(remembered, core) * part
-                        : met > 0 ? core : core * part,
+                rate = Math.max(
+                        remembered > 0 ? lift * Math.max(remembered, core) * part : met > 0 ? core : core * part,
                         growth * met / Math.max(1, settings.limits().tipAfter() / 3));
                 depth = rate * settings.limits().tipAfter() * saved;
             } else if (rate == 0) {
-                return false;  // nothing seen yet: the warm ones take the request
+                return false; // nothing seen yet: the warm ones take the request
             }
             if (!server.coldMet) {
                 // Danger: a first request free of charge comes from hundreds of sidecars together. Each
                 // starts somewhere within the debt of one request, so that their sum keeps to the rate.
                 server.coldMet = true;
                 // Where all are cold and even one from each is little for one core, it need not wait.
-                boolean few = warm == 0 && settings.replicas() * work(call)
-                        <= factor * part * settings.limits().tipAfter() / 2;
+                boolean few = warm == 0
+                        && settings.replicas() * work(call)
+                                <= factor * part * settings.limits().tipAfter() / 2;
                 server.coldTokens = few ? 0 : -random.nextDouble() * work(call);
             }
             server.coldTokens = Math.min(depth, server.coldTokens + rate * (now - server.coldAt));
@@ -725,6 +761,7 @@
     private final class Health {
         /** Part of the aim: a kind that takes no more is far from its limit and takes every turn. */
         private static final double EASY = 0.25;
+
         private static final double STEEP = 1.4;
         private final Map<Integer, SlowdownEstimate> paces = new TreeMap<>();
         private double fastest = 1;
@@ -746,7 +783,8 @@
 
         private void learnPace(Server server, double ratio) {
             pace(server).learn(ratio);
-            fastest = paces.values().stream().mapToDouble(pace -> pace.mean).min().orElse(1);
+            fastest =
+                    paces.values().stream().mapToDouble(pace -> pace.mean).min().orElse(1);
         }
 
         /** A part of the aim: a server expected to take longer is of no use to the class. */
@@ -754,17 +792,23 @@
         /** Machines of one fleet differ about twofold from their mean; beyond that it is a fault. */
         private static final double SLOW = 2;
         /** Of each class, over all servers, starting from a tenth of its aim. */
-        private final ServiceTimeEstimate[] usual = new ServiceTimeEstimate[settings.classes().size()];
+        private final ServiceTimeEstimate[] usual =
+                new ServiceTimeEstimate[settings.classes().size()];
+
         private final long firstBackoff;
         /** What is said beyond the worst that can be is not believed. */
         private static final long LONGEST_BACKOFF = 8;
+
         private static final double WORST_TOLD = 10_000;
 
         Health() {
             for (int i = 0; i < usual.length; i++) {
                 usual[i] = new ServiceTimeEstimate(settings.classes().get(i).aim() / 10.0);
             }
-            firstBackoff = settings.classes().stream().mapToLong(RequestClass::aim).min().orElse(1);
+            firstBackoff = settings.classes().stream()
+                    .mapToLong(RequestClass::aim)
+                    .min()
+                    .orElse(1);
         }
 
         private void integrate(long now, Server server) {
@@ -809,8 +853,7 @@
                 case OK -> {
                     reports.learn(attempt, now - attempt.sentAt);
                     learnPace(server, (now - attempt.sentAt) / call.expected);
-                    usual[call.request.requestClass()].learn(now, now - attempt.sentAt,
-                            call.request.costHint());
+                    usual[call.request.requestClass()].learn(now, now - attempt.sentAt, call.request.costHint());
                     heard(now, server);
                 }
                 case ERROR, RESET -> {
@@ -820,7 +863,7 @@
                     server.exposure += 2 * call.aim / call.expected;
                 }
                 case CONNECT_FAILED -> server.connectFailures++;
-                default -> { }
+                default -> {}
             }
         }
 
@@ -867,12 +910,16 @@
         private static final double HIGHEST = 0.98;
         /** In aims: twice as far as lateness looks back, which rules when it has ended. */
         private static final int LASTS = 16;
+
         private final int field = settings.reportFields().indexOf("q");
         private final boolean many = settings.replicas() >= MANY;
-        private final double meanWorth = settings.classes().stream().mapToDouble(RequestClass::worth)
-                .average().orElse(0);
+        private final double meanWorth = settings.classes().stream()
+                .mapToDouble(RequestClass::worth)
+                .average()
+                .orElse(0);
         /** In aims, without a word: one request is sent to hear. */
         private static final int SILENT = 2;
+
         private double value;
         private long toldAt;
         private long triedAt;
@@ -911,7 +958,8 @@
         }
 
         double shedding(long now, RequestClass kind) {
-            double part = kind.worth() >= meanWorth ? Math.max(0, (value - DEAREST) / (1 - DEAREST))
+            double part = kind.worth() >= meanWorth
+                    ? Math.max(0, (value - DEAREST) / (1 - DEAREST))
                     : Math.min(1, value / DEAREST);
             return part > 0 && trial(now) ? 0 : part;
         }
@@ -924,6 +972,7 @@
          * and stays so after the overload has gone; this way some wait in vain and the rest are in time.
          */
         private final ArrayDeque<Call> held = new ArrayDeque<>();
+
         private final double quota;
         private final DecayingSum spent;
         private long skippedAt;
@@ -945,7 +994,7 @@
         /** Part of the aim by which whole milliseconds, the way here and a turn of the host may shift it. */
         private static final int SHIFT = 20;
 
-        private record Try(int kind, int tenant, long key, long openedAt) { }
+        private record Try(int kind, int tenant, long key, long openedAt) {}
 
         private final ArrayDeque<Try> tries = new ArrayDeque<>();
 
@@ -954,8 +1003,8 @@
             if (tries.size() == MOST) {
                 tries.poll();
             }
-            tries.add(new Try(request.requestClass(), request.tenant(), request.key(),
-                    call.deadline - request.timeLeft()));
+            tries.add(new Try(
+                    request.requestClass(), request.tenant(), request.key(), call.deadline - request.timeLeft()));
         }
 
         /** Whether one like this was opened about then. */
@@ -963,8 +1012,10 @@
             long aim = settings.classes().get(request.requestClass()).aim();
             long shift = 2 * settings.quantum() + aim / SHIFT;
             for (Try each : tries) {
-                if (Math.abs(each.openedAt - then) <= shift && each.kind == request.requestClass()
-                        && each.tenant == request.tenant() && each.key == request.key()) {
+                if (Math.abs(each.openedAt - then) <= shift
+                        && each.kind == request.requestClass()
+                        && each.tenant == request.tenant()
+                        && each.key == request.key()) {
                     return true;
                 }
             }
@@ -982,6 +1033,7 @@
         private static final int MANY_VOTES = 100;
         /** Four in five in time is sound enough: the rest is chance and single faults. */
         private static final double ENOUGH = 1.25;
+
         private final Level level = new Level();
         private final Unserved unserved = new Unserved();
         private final Share[] shares = new Share[Math.max(1, settings.tenants().size())];
@@ -993,14 +1045,18 @@
         private static final double MOST_SHED = 0.9;
         /** Over eight aims: ten requests at a few a second; one is taken for good at first. */
         private final DecayingSum tried = new DecayingSum(8.0 * health.firstBackoff, 1);
+
         private final DecayingSum inTime = new DecayingSum(8.0 * health.firstBackoff, 1);
         private final DecayingSum rejected = new DecayingSum(8.0 * health.firstBackoff, 0);
 
         Admission() {
             for (int i = 0; i < shares.length; i++) {
-                double quota = settings.tenants().isEmpty() ? 1 : settings.tenants().get(i).quotaPerSecond();
+                double quota = settings.tenants().isEmpty()
+                        ? 1
+                        : settings.tenants().get(i).quotaPerSecond();
                 // Four aims: long against answers, short against a burst of some seconds.
-                shares[i] = new Share(quota > 0 ? quota : 1, 4.0 * settings.classes().get(0).aim());
+                shares[i] = new Share(
+                        quota > 0 ? quota : 1, 4.0 * settings.classes().get(0).aim());
             }
         }
 
@@ -1048,7 +1104,7 @@
                 return;
             }
             if (call.attempts.isEmpty() && now + call.least >= call.aimAt) {
-                ledger.answer(call);  // a later try, or one of little patience, that can hardly be in time
+                ledger.answer(call); // a later try, or one of little patience, that can hardly be in time
             } else if (held > 0 || !place(now, call)) {
                 call.held = true;
                 share(call).held.push(call);
@@ -1105,7 +1161,8 @@
             while (held > 0) {
                 Share poorest = null;
                 for (Share share : shares) {
-                    if (!share.held.isEmpty() && share.skippedAt != drains
+                    if (!share.held.isEmpty()
+                            && share.skippedAt != drains
                             && (poorest == null || share.used(now) < poorest.used(now))) {
                         poorest = share;
                     }
@@ -1140,19 +1197,20 @@
                     server.lastCut = now;
                 }
             } else if (outcome == Outcome.OK && attempt.crowd + 1 >= server.limit / 2) {
-                server.limit += Math.min(0.2 * server.limit, 1 / server.limit);  // one a round trip
+                server.limit += Math.min(0.2 * server.limit, 1 / server.limit); // one a round trip
             }
         }
 
         /** Under overload a further attempt takes the place of a first one, or is refused like the others. */
         boolean worthRetry(long now, Call call) {
-            return now < call.aimAt && (level.rules(now) ? level.value : 1 - borne(now)) < 0.8
-                    && rejected.value(now) <= tried.value(now) + settings.allowed().tryLimit();
+            return now < call.aimAt
+                    && (level.rules(now) ? level.value : 1 - borne(now)) < 0.8
+                    && rejected.value(now)
+                            <= tried.value(now) + settings.allowed().tryLimit();
         }
 
         long stayAway(Call call) {
-            return settings.allowed().retryAfter()
-                    ? Math.min(settings.allowed().maxRetryAfter(), call.aim / 2) : 0;
+            return settings.allowed().retryAfter() ? Math.min(settings.allowed().maxRetryAfter(), call.aim / 2) : 0;
         }
     }
 
@@ -1170,11 +1228,13 @@
         private static final double CHEAP = 0.01;
         /** Part of the aim that a look may take; a healthy upstream answers beside its queue at once. */
         private static final int PATIENCE = 20;
+
         private final int field = settings.reportFields().indexOf("rif");
-        private final boolean pays = field >= 0 && settings.allowed().probes()
-                && settings.charges().probe() * ASKED <= CHEAP;
+        private final boolean pays =
+                field >= 0 && settings.allowed().probes() && settings.charges().probe() * ASKED <= CHEAP;
         /** Part of the aim that an upstream's work in hand may take up; the rest is for its spread. */
         private static final double FULL = 0.6;
+
         private double usual;
         private double turnTime;
 
--- a/src/main/java/pondridge/ServiceTimeEstimate.java
+++ b/src/main/java/pondridge/ServiceTimeEstimate.java
@@ -4,9 +4,11 @@
 final class ServiceTimeEstimate {
     /** About the last 50 answers. */
     private static final double NEW = 0.02;
+
     double mean;
     /** Long ago at first: what it starts from has not been seen. */
     long learnedAt = Long.MIN_VALUE / 2;
+
     private long seen;
     private double cost;
     private double square;
--- a/src/main/java/pondridge/adapter/Cursor.java
+++ b/src/main/java/pondridge/adapter/Cursor.java
@@ -115,8 +115,7 @@
     /** The value an ordinal names, or an error saying which field was out of range. */
     <T> T choice(T[] values, int ordinal, String field) {
         if (ordinal >= values.length) {
-            throw new WireException(field + " " + ordinal + " out of range in the record at byte "
-                    + recordStart);
+            throw new WireException(field + " " + ordinal + " out of range in the record at byte " + recordStart);
         }
         return values[ordinal];
     }
--- a/src/main/java/pondridge/adapter/Host.java
+++ b/src/main/java/pondridge/adapter/Host.java
@@ -51,13 +51,25 @@
             case 2 -> membership(now, in);
             case 3 -> submit(now, in);
             case 4 -> instance(in).firstByte(now, in.u32(), in.u8(), in.upstream(), in.time("timeTaken"));
-            case 5 -> instance(in).outcome(now, in.u32(), in.u8(), in.upstream(),
-                    in.choice(OUTCOMES, in.u8(), "stateCode"), in.time("timeTaken"), in.u8() != 0,
-                    in.report());
+            case 5 -> instance(in)
+                    .outcome(
+                            now,
+                            in.u32(),
+                            in.u8(),
+                            in.upstream(),
+                            in.choice(OUTCOMES, in.u8(), "stateCode"),
+                            in.time("timeTaken"),
+                            in.u8() != 0,
+                            in.report());
             case 6 -> instance(in).hangup(now, in.u32());
             case 7 -> instance(in).timer(now, in.i64());
-            case 8 -> instance(in).probeResult(now, in.upstream(),
-                    in.choice(OUTCOMES, in.u8(), "stateCode"), in.time("timeTaken"), in.report());
+            case 8 -> instance(in)
+                    .probeResult(
+                            now,
+                            in.upstream(),
+                            in.choice(OUTCOMES, in.u8(), "stateCode"),
+                            in.time("timeTaken"),
+                            in.report());
             case 9 -> instance(in).peerMessage(now, in.u16(), in.bytes(in.u16()));
             case 10 -> instances.remove(in.u16());
             case 11 -> defineList(in);
@@ -106,8 +118,17 @@
         long left = in.time("left");
         long hint = in.time("costGuess");
         int bits = in.u8();
-        instance.request(now, new Request(id, requestClass, tenant, key, left, (bits & 1) != 0 ? hint : 0,
-                (bits & 2) != 0, (bits & 4) != 0));
+        instance.request(
+                now,
+                new Request(
+                        id,
+                        requestClass,
+                        tenant,
+                        key,
+                        left,
+                        (bits & 1) != 0 ? hint : 0,
+                        (bits & 2) != 0,
+                        (bits & 4) != 0));
     }
 
     private void defineList(Cursor in) {
@@ -118,8 +139,14 @@
         long count = in.u32();
         List<Upstream> entries = new ArrayList<>((int) Math.min(count, FIRST_ENTRIES));
         for (long i = 0; i < count; i++) {
-            entries.add(new Upstream(in.upstream(), in.u8(), in.u16(), in.u16(),
-                    in.choice(STATES, in.u8(), "status"), in.f32(), in.time("lastStart")));
+            entries.add(new Upstream(
+                    in.upstream(),
+                    in.u8(),
+                    in.u16(),
+                    in.u16(),
+                    in.choice(STATES, in.u8(), "status"),
+                    in.f32(),
+                    in.time("lastStart")));
         }
         lists.set((int) number, entries);
     }
--- a/src/main/java/pondridge/adapter/Main.java
+++ b/src/main/java/pondridge/adapter/Main.java
@@ -14,7 +14,7 @@
 public final class Main {
     private static final int HEADER = 16;
 
-    private Main() { }
+    private Main() {}
 
     /** Runs the adapter until input ends; a malformed frame ends it with a message and exit status 1. */
     public static void main(String[] args) {
@@ -23,7 +23,8 @@
             System.exit(2);
         }
         try {
-            run(new BufferedInputStream(new FileInputStream(FileDescriptor.in), 1 << 16),
+            run(
+                    new BufferedInputStream(new FileInputStream(FileDescriptor.in), 1 << 16),
                     new FileOutputStream(FileDescriptor.out));
         } catch (WireException | IllegalArgumentException | IOException e) {
             System.err.println("pondridge: " + e.getMessage());
@@ -36,7 +37,7 @@
         Host host = new Host(replies);
         byte[] header = new byte[HEADER];
         byte[] body = new byte[1 << 16];
-        for (long frame = 0;; frame++) {
+        for (long frame = 0; ; frame++) {
             int got = in.readNBytes(header, 0, HEADER);
             if (got == 0) {
                 return;
@@ -57,8 +58,8 @@
             }
             got = in.readNBytes(body, 0, size);
             if (got < size) {
-                throw new WireException("frame " + frame + ": states " + length + " bytes, ends after "
-                        + (got + HEADER));
+                throw new WireException(
+                        "frame " + frame + ": states " + length + " bytes, ends after " + (got + HEADER));
             }
             try {
                 host.batch(now, records, new Cursor(body, size));
--- a/src/main/java/pondridge/cli/Bankflow.java
+++ b/src/main/java/pondridge/cli/Bankflow.java
@@ -5,12 +5,23 @@
 import pondridge.settings.SettingsException;
 
 /** The command {@code bankflow}. Exit status: 0 done, 1 failed, 2 a mistake in arguments or settings. */
-@Command(name = "bankflow", mixinStandardHelpOptions = true, version = "bankflow 0.1",
+@Command(
+        name = "bankflow",
+        mixinStandardHelpOptions = true,
+        version = "bankflow 0.1",
         description = "A gateway for requests that must not happen twice.",
-        subcommands = {Check.class, ControlCommand.class, Demo.class, DrillCommand.class,
-            GatewayCommand.class, Plan.class, ScaleCommand.class, Standin.class})
+        subcommands = {
+            Check.class,
+            ControlCommand.class,
+            Demo.class,
+            DrillCommand.class,
+            GatewayCommand.class,
+            Plan.class,
+            ScaleCommand.class,
+            Standin.class
+        })
 public final class Bankflow {
-    private Bankflow() { }
+    private Bankflow() {}
 
     /** Runs one command. */
     public static void main(String[] args) {
--- a/src/main/java/pondridge/cli/ControlCommand.java
+++ b/src/main/java/pondridge/cli/ControlCommand.java
@@ -24,9 +24,13 @@
 /** The source of lists and settings, a relay, or a follower that only logs what it gets; until SIGTERM. */
 @Command(name = "control", description = "Runs a source, a relay or a follower of lists and settings.")
 final class ControlCommand implements Callable<Integer> {
-    @Option(names = "--settings", required = true, paramLabel = "FILE",
+    @Option(
+            names = "--settings",
+            required = true,
+            paramLabel = "FILE",
             description = "the TOML file; [control] role says what runs")
     private Path file;
+
     @Option(names = "--with-parent", description = "ends, as at SIGTERM, when its standard input ends")
     private boolean withParent;
 
@@ -37,19 +41,30 @@
         MultiThreadIoEventLoopGroup group = new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory());
         EventLoop loop = group.next();
         try {
-            InetSocketAddress at = switch (settings.role()) {
-                case SOURCE -> new ControlSource(loop, settings, events, new Traffic()).start().get();
-                case RELAY -> new ControlRelay(loop, settings, events, new Traffic(), new Traffic()).start()
-                        .get();
-                case FOLLOWER -> {
-                    new ControlClient(loop, settings, (version, kind, targets, others) -> events.told(
-                            "applied", "", version + " " + kind + ' ' + targets.size()
-                            + " entries " + others.size() + " settings"), events, new Traffic()).start();
-                    yield null;
-                }
-                case OFF -> throw new SettingsException(file.toString(), "control.role",
-                        "off: nothing to run");
-            };
+            InetSocketAddress at =
+                    switch (settings.role()) {
+                        case SOURCE -> new ControlSource(loop, settings, events, new Traffic())
+                                .start()
+                                .get();
+                        case RELAY -> new ControlRelay(loop, settings, events, new Traffic(), new Traffic())
+                                .start()
+                                .get();
+                        case FOLLOWER -> {
+                            new ControlClient(
+                                            loop,
+                                            settings,
+                                            (version, kind, targets, others) -> events.told(
+                                                    "applied",
+                                                    "",
+                                                    version + " " + kind + ' ' + targets.size() + " entries "
+                                                            + others.size() + " settings"),
+                                            events,
+                                            new Traffic())
+                                    .start();
+                            yield null;
+                        }
+                        case OFF -> throw new SettingsException(file.toString(), "control.role", "off: nothing to run");
+                    };
             events.told("ready", "", at == null ? "" : at.getAddress().getHostAddress() + ':' + at.getPort());
             if (withParent) {
                 Parent.watch();
--- a/src/main/java/pondridge/cli/Demo.java
+++ b/src/main/java/pondridge/cli/Demo.java
@@ -42,14 +42,19 @@
 
     @Spec
     private CommandSpec spec;
+
     @Option(names = "--seconds", defaultValue = "24", description = "how long load comes: 3 to 600")
     private int seconds;
+
     @Option(names = "--rate", defaultValue = "150", description = "requests a second at each site: 1 to 2000")
     private int rate;
+
     @Option(names = "--delay-ms", defaultValue = "20", description = "the link's delay one way: 0 to 1000")
     private int delayMs;
+
     @Option(names = "--seed", defaultValue = "1", description = "of arrivals, work and the link's jitter")
     private long seed;
+
     @Option(names = "--log", description = "show the gateways' log on standard error")
     private boolean log;
 
@@ -72,12 +77,12 @@
         Path folder = Files.createTempDirectory("bankflow-demo");
         try {
             Certificates certificates = new Certificates(folder);
-            Sites.Shape shape = new Sites.Shape(List.of("a", "b"), 4, 1, 5 * MS, delayMs * MS,
-                    delayMs * MS / 4, "");
-            try (Sites sites = new Sites(shape, Usual.options(WAIT_MS), seed,
-                    site -> lines(certificates, site))) {
-                out.printf("two sites, 4 servers and a gateway each, %d ms between them one way, mutual TLS,"
-                        + " %d requests/s at each%n", delayMs, rate);
+            Sites.Shape shape = new Sites.Shape(List.of("a", "b"), 4, 1, 5 * MS, delayMs * MS, delayMs * MS / 4, "");
+            try (Sites sites = new Sites(shape, Usual.options(WAIT_MS), seed, site -> lines(certificates, site))) {
+                out.printf(
+                        "two sites, 4 servers and a gateway each, %d ms between them one way, mutual TLS,"
+                                + " %d requests/s at each%n",
+                        delayMs, rate);
                 out.flush();
                 return play(sites, out);
             }
@@ -93,8 +98,8 @@
 
     private void within(String option, int given, int least, int most) {
         if (given < least || given > most) {
-            throw new ParameterException(spec.commandLine(),
-                    option + ": expected " + least + " to " + most + ", found " + given);
+            throw new ParameterException(
+                    spec.commandLine(), option + ": expected " + least + " to " + most + ", found " + given);
         }
     }
 
@@ -106,8 +111,7 @@
         }
     }
 
-    private int play(Sites sites, PrintWriter out) throws InterruptedException, ExecutionException,
-            TimeoutException {
+    private int play(Sites sites, PrintWriter out) throws InterruptedException, ExecutionException, TimeoutException {
         Map<String, Long> waits = new LinkedHashMap<>();
         SHARES.keySet().forEach(kind -> waits.put(kind, WAIT_MS * MS));
         OpenLoad.Plan plan = new OpenLoad.Plan(rate * seconds, rate, SHARES, waits, 200);
@@ -126,8 +130,8 @@
         sites.quiet(PATIENCE_S * 1_000L);
         show(out, sites, seconds * 1_000L, "the end");
         out.println();
-        out.printf("%-14s %7s %7s %7s %7s %8s %8s%n", "class", "asked", "served", "refused", "failed",
-                "p50 ms", "p99 ms");
+        out.printf(
+                "%-14s %7s %7s %7s %7s %8s %8s%n", "class", "asked", "served", "refused", "failed", "p50 ms", "p99 ms");
         for (String kind : SHARES.keySet()) {
             EffectLedger.Tally tally = sites.ledger().tally(kind);
             Histogram took = new Histogram(60_000_000_000L, 3);
@@ -136,14 +140,25 @@
                     took.add(load.served().get(kind));
                 }
             }
-            out.printf(Locale.ROOT, "%-14s %7d %7d %7d %7d %8.1f %8.1f%n", kind, tally.asked(),
-                    tally.served(), tally.refused(), tally.failed(), took.getValueAtPercentile(50) / 1e6,
+            out.printf(
+                    Locale.ROOT,
+                    "%-14s %7d %7d %7d %7d %8.1f %8.1f%n",
+                    kind,
+                    tally.asked(),
+                    tally.served(),
+                    tally.refused(),
+                    tally.failed(),
+                    took.getValueAtPercentile(50) / 1e6,
                     took.getValueAtPercentile(99) / 1e6);
         }
         Verdict verdict = sites.ledger().verdict();
         out.println();
-        out.printf("crossed %d, doubled %d, unanswered %d, late %d%n", sites.site("a").count("crossed")
-                + sites.site("b").count("crossed"), verdict.doubled(), verdict.unanswered(), verdict.late());
+        out.printf(
+                "crossed %d, doubled %d, unanswered %d, late %d%n",
+                sites.site("a").count("crossed") + sites.site("b").count("crossed"),
+                verdict.doubled(),
+                verdict.unanswered(),
+                verdict.late());
         verdict.words().forEach(out::println);
         out.println(verdict.clean() ? "every rule was kept" : "A RULE WAS BROKEN: " + verdict);
         out.flush();
@@ -155,9 +170,15 @@
     }
 
     private static void show(PrintWriter out, Sites sites, long atMs, String what) {
-        out.printf(Locale.ROOT, "%6.1f s  a: served %d, refused %d, failed %d, crossed %d   %s%n", atMs / 1e3,
-                sites.site("a").count("served"), sites.site("a").count("refused"),
-                sites.site("a").count("failed"), sites.site("a").count("crossed"), what);
+        out.printf(
+                Locale.ROOT,
+                "%6.1f s  a: served %d, refused %d, failed %d, crossed %d   %s%n",
+                atMs / 1e3,
+                sites.site("a").count("served"),
+                sites.site("a").count("refused"),
+                sites.site("a").count("failed"),
+                sites.site("a").count("crossed"),
+                what);
         out.flush();
     }
 }
--- a/src/main/java/pondridge/cli/DrillCommand.java
+++ b/src/main/java/pondridge/cli/DrillCommand.java
@@ -15,13 +15,17 @@
 import pondridge.demo.DrillReport;
 
 /** A scripted drill with gateways as processes. */
-@Command(name = "drill", description = "Plays a drill: sites of stand-in servers with gateways as processes,"
-        + " and faults between them by script. Exit status 0 only if every rule was kept.")
+@Command(
+        name = "drill",
+        description = "Plays a drill: sites of stand-in servers with gateways as processes,"
+                + " and faults between them by script. Exit status 0 only if every rule was kept.")
 final class DrillCommand implements Callable<Integer> {
     @Spec
     private CommandSpec spec;
+
     @Parameters(paramLabel = "FILE", description = "the TOML file")
     private Path file;
+
     @Option(names = "--check", description = "only reads the file")
     private boolean check;
 
--- a/src/main/java/pondridge/cli/GatewayCommand.java
+++ b/src/main/java/pondridge/cli/GatewayCommand.java
@@ -30,6 +30,7 @@
 
     @Option(names = "--config", required = true, paramLabel = "FILE", description = "the TOML file")
     private Path file;
+
     @Option(names = "--with-parent", description = "ends, as at SIGTERM, when its standard input ends")
     private boolean withParent;
 
@@ -77,12 +78,22 @@
     private static void start(EventLoop loop, Told told, CompletableFuture<Gateway> started) {
         try {
             Config platform = told.platform();
-            Transport upstreams = MixedUpstreams.of(loop, platform.options(), told.settings().upstreams(),
-                    platform.mostUpstream());
-            Gateway gateway = new Gateway(loop, platform.options(), told.settings(), upstreams,
-                    platform.seed(), platform.mostClients(), System::nanoTime);
-            Discovery discovery = new Discovery(loop, platform.discovery(), platform.pushed(),
-                    platform.known().rev(), gateway::listed);
+            Transport upstreams =
+                    MixedUpstreams.of(loop, platform.options(), told.settings().upstreams(), platform.mostUpstream());
+            Gateway gateway = new Gateway(
+                    loop,
+                    platform.options(),
+                    told.settings(),
+                    upstreams,
+                    platform.seed(),
+                    platform.mostClients(),
+                    System::nanoTime);
+            Discovery discovery = new Discovery(
+                    loop,
+                    platform.discovery(),
+                    platform.pushed(),
+                    platform.known().rev(),
+                    gateway::listed);
             gateway.start(discovery, platform.known().targets(), platform.listen())
                     .whenComplete((doors, problem) -> {
                         if (problem == null) {
@@ -98,8 +109,11 @@
     }
 
     private static long longest(Config platform) {
-        return platform.options().settings().classes().stream().mapToLong(RequestClass::deadline).max()
-                .orElse(0) / 1_000_000;
+        return platform.options().settings().classes().stream()
+                        .mapToLong(RequestClass::deadline)
+                        .max()
+                        .orElse(0)
+                / 1_000_000;
     }
 
     /** New requests by the link are turned away unseen; what is open is answered, if that can be. */
--- a/src/main/java/pondridge/cli/Plan.java
+++ b/src/main/java/pondridge/cli/Plan.java
@@ -21,23 +21,28 @@
 import pondridge.siteloss.Topology.Site;
 
 /** What operators want to know before anything is lost. */
-@Command(name = "plan", description = "Says beforehand what a loss would do.",
+@Command(
+        name = "plan",
+        description = "Says beforehand what a loss would do.",
         subcommands = {Plan.SiteLoss.class})
 final class Plan {
     private static final double ONE_IN_THOUSAND = 0.001;
 
-    private Plan() { }
+    private Plan() {}
 
     /** For each site and each pair of sites: where its load goes, what is refused, what stands in the way. */
-    @Command(name = "site-loss", description = "Prints, for the loss of each site and of each pair, where"
-            + " its load goes, what is refused and what is narrow. Exit status 1 if requests of the classes"
-            + " worth most would be refused.")
+    @Command(
+            name = "site-loss",
+            description = "Prints, for the loss of each site and of each pair, where"
+                    + " its load goes, what is refused and what is narrow. Exit status 1 if requests of the classes"
+                    + " worth most would be refused.")
     static final class SiteLoss implements Callable<Integer> {
         @Spec
         private CommandSpec spec;
-        @Option(names = "--config", required = true, paramLabel = "FILE",
-                description = "a TOML file with [site_plan]")
+
+        @Option(names = "--config", required = true, paramLabel = "FILE", description = "a TOML file with [site_plan]")
         private Path config;
+
         @Option(names = "--lost", paramLabel = "SITE", description = "only the loss of these together")
         private List<String> lost = new ArrayList<>();
 
@@ -47,13 +52,17 @@
             List<String> names = topology.sites().stream().map(Site::name).toList();
             for (String name : lost) {
                 if (!names.contains(name)) {
-                    throw new CommandLine.ParameterException(spec.commandLine(),
+                    throw new CommandLine.ParameterException(
+                            spec.commandLine(),
                             "--lost: no such site: " + name + "; there are " + String.join(", ", names));
                 }
             }
             boolean fits = true;
             for (Set<String> each : lost.isEmpty() ? losses(names) : List.of(new LinkedHashSet<>(lost))) {
-                fits &= print(topology, LossPlanner.plan(topology, each), spec.commandLine().getOut());
+                fits &= print(
+                        topology,
+                        LossPlanner.plan(topology, each),
+                        spec.commandLine().getOut());
             }
             return fits ? CommandLine.ExitCode.OK : CommandLine.ExitCode.SOFTWARE;
         }
@@ -73,8 +82,7 @@
     /** False if something of the classes worth most is refused. */
     private static boolean print(Topology topology, LossPlan plan, PrintWriter out) {
         out.println("lost: " + String.join(" and ", plan.lost()));
-        plan.unfit().forEach(site -> out.println("  " + site
-                + " can't do what its own clients ask; it takes nothing"));
+        plan.unfit().forEach(site -> out.println("  " + site + " can't do what its own clients ask; it takes nothing"));
         double best = topology.classes().stream().mapToDouble(Kind::worth).max().orElse(0);
         boolean fits = true;
         for (String from : plan.lost()) {
@@ -88,8 +96,7 @@
                         .filter(each -> each.from().equals(from) && each.kind().equals(kind.name()))
                         .forEach(each -> parts.add(one(each.perSecond()) + " refused"));
                 if (!parts.isEmpty()) {
-                    out.println("  " + from + ", " + kind.name() + ", requests a second: "
-                            + String.join(", ", parts));
+                    out.println("  " + from + ", " + kind.name() + ", requests a second: " + String.join(", ", parts));
                 }
                 fits &= kind.worth() < best || admitted > 1 - ONE_IN_THOUSAND;
             }
@@ -98,8 +105,10 @@
         if (!fits) {
             out.println("  WARNING: not even all of the classes worth most find room");
         } else if (plan.slack() > 0) {
-            out.println(String.format(Locale.ROOT, "  the classes worth most fit as long as the sites left"
-                    + " can do %.2f of what is said here", plan.slack()));
+            out.println(String.format(
+                    Locale.ROOT,
+                    "  the classes worth most fit as long as the sites left" + " can do %.2f of what is said here",
+                    plan.slack()));
         }
         return fits;
     }
--- a/src/main/java/pondridge/cli/ScaleCommand.java
+++ b/src/main/java/pondridge/cli/ScaleCommand.java
@@ -15,14 +15,18 @@
 import pondridge.scale.ScaleRun;
 
 /** A run of growing size, and the slope of what it costs. */
-@Command(name = "scale", description = "Plays a scale run: hollow sidecars by the hundred beside a few real"
-        + " ones, and what each more of them costs. Exit status 0 only if every change was known"
-        + " everywhere in time and the real ones broke no rule.")
+@Command(
+        name = "scale",
+        description = "Plays a scale run: hollow sidecars by the hundred beside a few real"
+                + " ones, and what each more of them costs. Exit status 0 only if every change was known"
+                + " everywhere in time and the real ones broke no rule.")
 final class ScaleCommand implements Callable<Integer> {
     @Spec
     private CommandSpec spec;
+
     @Parameters(paramLabel = "FILE", description = "the TOML file")
     private Path file;
+
     @Option(names = "--check", description = "only reads the file")
     private boolean check;
 
@@ -35,9 +39,10 @@
         PrintWriter out = spec.commandLine().getOut();
         out.println("seed " + plan.seed());
         ScaleReport report = new ScaleRun(plan, ScaleRun.Source.PLANNED, line -> {
-            out.println(line);
-            out.flush();
-        }).play();
+                    out.println(line);
+                    out.flush();
+                })
+                .play();
         report.lines().forEach(out::println);
         out.flush();
         return report.clean() ? CommandLine.ExitCode.OK : CommandLine.ExitCode.SOFTWARE;
--- a/src/main/java/pondridge/cli/Standin.java
+++ b/src/main/java/pondridge/cli/Standin.java
@@ -23,7 +23,9 @@
 import pondridge.standin.redis.RedisStandin;
 
 /** Stand-ins for outside systems, for trials on loopback. */
-@Command(name = "standin", description = "Stand-ins for outside systems, on loopback addresses only.",
+@Command(
+        name = "standin",
+        description = "Stand-ins for outside systems, on loopback addresses only.",
         subcommands = {Standin.Server.class, Standin.Redis.class})
 final class Standin implements Runnable {
     @Spec
@@ -39,44 +41,65 @@
     static final class Server implements Callable<Integer> {
         @Spec
         private CommandSpec spec;
+
         @Option(names = "--protocol", required = true, description = "http1, http2 or grpc")
         private String protocol;
-        @Option(names = "--listen", required = true, paramLabel = "ADDRESS:PORT",
+
+        @Option(
+                names = "--listen",
+                required = true,
+                paramLabel = "ADDRESS:PORT",
                 description = "a loopback address and a port")
         private String listen;
-        @Option(names = "--fault", defaultValue = "", paramLabel = "NAME=SHARE,...",
+
+        @Option(
+                names = "--fault",
+                defaultValue = "",
+                paramLabel = "NAME=SHARE,...",
                 description = "which part of the requests meets which fault")
         private String faults;
+
         @Option(names = "--seed", defaultValue = "1", description = "for the faults' order")
         private long seed;
+
         @Option(names = "--work-ms", defaultValue = "5", description = "mean time of a request's work")
         private long workMs;
+
         @Option(names = "--streams", defaultValue = "100", description = "HTTP/2: streams at a time")
         private long streams;
+
         @Option(names = "--for-s", defaultValue = "3600", description = "ends by itself after so long")
         private long forSeconds;
 
         @Override
         public Integer call() throws InterruptedException {
-            StandinServer.Protocol speaks = switch (protocol) {
-                case "http1" -> StandinServer.Protocol.HTTP1;
-                case "http2" -> StandinServer.Protocol.HTTP2;
-                case "grpc" -> StandinServer.Protocol.GRPC;
-                default -> throw wrong("--protocol: expected http1, http2 or grpc, found " + protocol);
-            };
+            StandinServer.Protocol speaks =
+                    switch (protocol) {
+                        case "http1" -> StandinServer.Protocol.HTTP1;
+                        case "http2" -> StandinServer.Protocol.HTTP2;
+                        case "grpc" -> StandinServer.Protocol.GRPC;
+                        default -> throw wrong("--protocol: expected http1, http2 or grpc, found " + protocol);
+                    };
             Map<Fault, Double> shares;
             try {
                 shares = FaultScript.parse(faults);
             } catch (IllegalArgumentException e) {
                 throw wrong("--fault: " + e.getMessage());
             }
-            MultiThreadIoEventLoopGroup group =
-                    new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory());
+            MultiThreadIoEventLoopGroup group = new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory());
             EffectLedger ledger = new EffectLedger(0, 0);
-            try (StandinServer server = new StandinServer(group.next(), loopback(spec, listen),
-                    new StandinServer.Setup("standin", "a", speaks, streams, 65_535,
+            try (StandinServer server = new StandinServer(
+                    group.next(),
+                    loopback(spec, listen),
+                    new StandinServer.Setup(
+                            "standin",
+                            "a",
+                            speaks,
+                            streams,
+                            65_535,
                             new FaultScript(seed, shares, workMs * 1_000_000, 10 * workMs * 1_000_000),
-                            ledger, new KeyMemory()))) {
+                            ledger,
+                            new KeyMemory()))) {
                 say(protocol + " at " + server.address());
                 CountDownLatch ended = new CountDownLatch(1);
                 Runtime.getRuntime().addShutdownHook(new Thread(ended::countDown));
@@ -98,42 +121,55 @@
     }
 
     /** A stand-in store that speaks the protocol of Redis. */
-    @Command(name = "redis",
-            description = "A store that speaks the protocol of Redis; runs until it is ended.")
+    @Command(name = "redis", description = "A store that speaks the protocol of Redis; runs until it is ended.")
     static final class Redis implements Callable<Integer> {
         @Spec
         private CommandSpec spec;
-        @Option(names = "--listen", required = true, paramLabel = "ADDRESS:PORT",
+
+        @Option(
+                names = "--listen",
+                required = true,
+                paramLabel = "ADDRESS:PORT",
                 description = "a loopback address and a port")
         private String listen;
+
         @Option(names = "--memory-mb", defaultValue = "64", description = "of keys and values")
         private int memoryMb;
+
         @Option(names = "--refuse-when-full", description = "instead of letting the longest unused keys go")
         private boolean refuses;
+
         @Option(names = "--delay-ms", defaultValue = "0", description = "each reply waits for so long")
         private long delayMs;
+
         @Option(names = "--for-s", defaultValue = "3600", description = "ends by itself after so long")
         private long forSeconds;
 
         @Override
         public Integer call() throws InterruptedException {
             if (memoryMb < 1 || memoryMb > 4_096) {
-                throw new ParameterException(spec.commandLine(), "--memory-mb: expected 1 to 4096, found "
-                        + memoryMb);
+                throw new ParameterException(spec.commandLine(), "--memory-mb: expected 1 to 4096, found " + memoryMb);
             }
-            MultiThreadIoEventLoopGroup group =
-                    new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory());
+            MultiThreadIoEventLoopGroup group = new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory());
             RedisStandin.Setup usual = RedisStandin.Setup.usual();
-            try (RedisStandin store = new RedisStandin(group.next(), loopback(spec, listen),
-                    new RedisStandin.Setup(usual.user(), usual.password(), (long) memoryMb << 20, !refuses,
-                            usual.lagMs(), usual.connections()))) {
+            try (RedisStandin store = new RedisStandin(
+                    group.next(),
+                    loopback(spec, listen),
+                    new RedisStandin.Setup(
+                            usual.user(),
+                            usual.password(),
+                            (long) memoryMb << 20,
+                            !refuses,
+                            usual.lagMs(),
+                            usual.connections()))) {
                 store.faults().delay(delayMs);
                 spec.commandLine().getOut().println("standin redis: at " + store.address());
                 CountDownLatch ended = new CountDownLatch(1);
                 Runtime.getRuntime().addShutdownHook(new Thread(ended::countDown));
                 ended.await(forSeconds, TimeUnit.SECONDS);
-                spec.commandLine().getOut().println("standin redis: " + store.commands() + " commands, "
-                        + store.bytes() + " bytes");
+                spec.commandLine()
+                        .getOut()
+                        .println("standin redis: " + store.commands() + " commands, " + store.bytes() + " bytes");
             } finally {
                 group.shutdownGracefully(0, 1, TimeUnit.SECONDS);
             }
@@ -143,8 +179,7 @@
 
     private static InetSocketAddress loopback(CommandSpec spec, String listen) {
         int colon = listen.lastIndexOf(':');
-        InetAddress host = colon < 0 ? null
-                : NetUtil.createInetAddressFromIpAddressString(listen.substring(0, colon));
+        InetAddress host = colon < 0 ? null : NetUtil.createInetAddressFromIpAddressString(listen.substring(0, colon));
         try {
             int port = Integer.parseInt(listen.substring(colon + 1));
             if (host != null && host.isLoopbackAddress() && port >= 0 && port <= 0xffff) {
@@ -153,7 +188,7 @@
         } catch (NumberFormatException e) {
             // Told below, with what was expected.
         }
-        throw new ParameterException(spec.commandLine(),
-                "--listen: expected a loopback address and port, found " + listen);
+        throw new ParameterException(
+                spec.commandLine(), "--listen: expected a loopback address and port, found " + listen);
     }
 }
--- a/src/main/java/pondridge/control/Ack.java
+++ b/src/main/java/pondridge/control/Ack.java
@@ -8,4 +8,4 @@
  * @param verdict what came of the update
  * @param sums of those below, for a relay
  */
-record Ack(long serial, Version version, FollowerState.Verdict verdict, Sums sums) { }
+record Ack(long serial, Version version, FollowerState.Verdict verdict, Sums sums) {}
--- a/src/main/java/pondridge/control/Codec.java
+++ b/src/main/java/pondridge/control/Codec.java
@@ -20,16 +20,17 @@
 final class Codec {
     /** Of the messages; a hello of another one is refused. */
     static final int PROTOCOL = 1;
+
     private static final int MOST_CHANGES = 1 << 18;
 
     /** Of changes that go together. */
-    private record Group(String state, boolean body, long number, long bodyNumber) { }
+    private record Group(String state, boolean body, long number, long bodyNumber) {}
 
     private interface Writing {
         void to(JsonGenerator json) throws IOException;
     }
 
-    private Codec() { }
+    private Codec() {}
 
     private static byte[] write(Writing what) {
         ByteArrayOutputStream bytes = new ByteArrayOutputStream(128);
@@ -68,8 +69,7 @@
             json.writeNumberField("k", ack.serial());
             json.writeNumberField("e", ack.version().epoch());
             json.writeNumberField("n", ack.version().number());
-            if (ack.verdict() == FollowerState.Verdict.GAP
-                    || ack.verdict() == FollowerState.Verdict.MISMATCH) {
+            if (ack.verdict() == FollowerState.Verdict.GAP || ack.verdict() == FollowerState.Verdict.MISMATCH) {
                 json.writeStringField("v", ack.verdict().name());
             }
             if (ack.sums().count() > 0) {
@@ -117,9 +117,11 @@
         }
         Map<Group, Map<String, List<Change>>> groups = new LinkedHashMap<>();
         for (Change each : changes) {
-            groups.computeIfAbsent(new Group(each.state(), each.body() != null, each.number(),
-                    each.bodyNumber()), group -> new TreeMap<>())
-                    .computeIfAbsent(each.service(), service -> new ArrayList<>()).add(each);
+            groups.computeIfAbsent(
+                            new Group(each.state(), each.body() != null, each.number(), each.bodyNumber()),
+                            group -> new TreeMap<>())
+                    .computeIfAbsent(each.service(), service -> new ArrayList<>())
+                    .add(each);
         }
         json.writeArrayFieldStart("c");
         for (Map.Entry<Group, Map<String, List<Change>>> group : groups.entrySet()) {
@@ -140,8 +142,12 @@
                     }
                     json.writeEndObject();
                 } else {
-                    texts(json, service.getKey(), Names.pack(service.getValue().stream().map(Change::name)
-                            .toList()));
+                    texts(
+                            json,
+                            service.getKey(),
+                            Names.pack(service.getValue().stream()
+                                    .map(Change::name)
+                                    .toList()));
                 }
             }
             json.writeEndObject();
@@ -159,8 +165,8 @@
             }
             return node;
         } catch (IOException e) {
-            throw new IllegalArgumentException("not a message: " + e.getMessage().lines().findFirst()
-                    .orElse(""), e);
+            throw new IllegalArgumentException(
+                    "not a message: " + e.getMessage().lines().findFirst().orElse(""), e);
         }
     }
 
@@ -193,30 +199,48 @@
 
     static Hello readHello(JsonNode node) {
         if (number(node, "hello") != PROTOCOL) {
-            throw new IllegalArgumentException("hello: version " + node.path("hello") + " of the protocol, "
-                    + PROTOCOL + " is spoken here");
+            throw new IllegalArgumentException(
+                    "hello: version " + node.path("hello") + " of the protocol, " + PROTOCOL + " is spoken here");
         }
-        return new Hello(node.path("instance").asText(""), texts(node, "services", Hello.MOST_SERVICES),
-                node.path("relay").asBoolean(), version(node, "e", "n"));
+        return new Hello(
+                node.path("instance").asText(""),
+                texts(node, "services", Hello.MOST_SERVICES),
+                node.path("relay").asBoolean(),
+                version(node, "e", "n"));
     }
 
     static Ack readAck(JsonNode node) {
-        FollowerState.Verdict verdict = switch (node.path("v").asText("")) {
-            case "" -> FollowerState.Verdict.TAKEN;
-            case "GAP" -> FollowerState.Verdict.GAP;
-            case "MISMATCH" -> FollowerState.Verdict.MISMATCH;
-            default -> throw new IllegalArgumentException("v: expected GAP or MISMATCH");
-        };
-        return new Ack(number(node, "k"), version(node, "e", "n"), verdict, !node.has("count") ? Sums.NONE
-                : new Sums(number(node, "count"), version(node, "le", "ln"),
-                        texts(node, "behind", Sums.MOST_NAMES)));
+        FollowerState.Verdict verdict =
+                switch (node.path("v").asText("")) {
+                    case "" -> FollowerState.Verdict.TAKEN;
+                    case "GAP" -> FollowerState.Verdict.GAP;
+                    case "MISMATCH" -> FollowerState.Verdict.MISMATCH;
+                    default -> throw new IllegalArgumentException("v: expected GAP or MISMATCH");
+                };
+        return new Ack(
+                number(node, "k"),
+                version(node, "e", "n"),
+                verdict,
+                !node.has("count")
+                        ? Sums.NONE
+                        : new Sums(
+                                number(node, "count"),
+                                version(node, "le", "ln"),
+                                texts(node, "behind", Sums.MOST_NAMES)));
     }
 
     static Update readUpdate(JsonNode node) {
         boolean whole = node.path("w").asBoolean();
-        return new Update(number(node, "u"), version(node, "e", "n"), whole, whole ? 0 : number(node, "f"),
-                node.path("fl").asLong(), readChanges(node.path("c")),
-                texts(node, "x", Hello.MOST_SERVICES), number(node, "d"), number(node, "a"));
+        return new Update(
+                number(node, "u"),
+                version(node, "e", "n"),
+                whole,
+                whole ? 0 : number(node, "f"),
+                node.path("fl").asLong(),
+                readChanges(node.path("c")),
+                texts(node, "x", Hello.MOST_SERVICES),
+                number(node, "d"),
+                number(node, "a"));
     }
 
     private static List<Change> readChanges(JsonNode groups) {
@@ -227,13 +251,27 @@
             long bodyNumber = group.path("b").asLong();
             group.path("in").properties().forEach(service -> {
                 if (service.getValue().isObject()) {
-                    service.getValue().properties().forEach(each -> add(changes, new Resource(
-                            service.getKey(), each.getKey(), state, each.getValue().asText()), number,
-                            bodyNumber, true));
+                    service.getValue()
+                            .properties()
+                            .forEach(each -> add(
+                                    changes,
+                                    new Resource(
+                                            service.getKey(),
+                                            each.getKey(),
+                                            state,
+                                            each.getValue().asText()),
+                                    number,
+                                    bodyNumber,
+                                    true));
                 } else {
                     for (JsonNode packed : service.getValue()) {
-                        Names.unpack(packed.asText()).forEach(name -> add(changes,
-                                new Resource(service.getKey(), name, state, ""), number, bodyNumber, false));
+                        Names.unpack(packed.asText())
+                                .forEach(name -> add(
+                                        changes,
+                                        new Resource(service.getKey(), name, state, ""),
+                                        number,
+                                        bodyNumber,
+                                        false));
                     }
                 }
             });
@@ -242,13 +280,14 @@
     }
 
     /** By way of a {@link Resource}, which checks the texts. */
-    private static void add(List<Change> changes, Resource checked, long number, long bodyNumber,
-            boolean body) {
+    private static void add(List<Change> changes, Resource checked, long number, long bodyNumber, boolean body) {
         if (changes.size() == MOST_CHANGES || checked.gone() && body) {
-            throw new IllegalArgumentException(checked.gone() && body ? checked.service() + '/'
-                    + checked.name() + ": gone, and with a body" : "c: " + MOST_CHANGES + " changes at most");
+            throw new IllegalArgumentException(
+                    checked.gone() && body
+                            ? checked.service() + '/' + checked.name() + ": gone, and with a body"
+                            : "c: " + MOST_CHANGES + " changes at most");
         }
-        changes.add(new Change(checked.service(), checked.name(), checked.state(),
-                body ? checked.body() : null, number, bodyNumber));
+        changes.add(new Change(
+                checked.service(), checked.name(), checked.state(), body ? checked.body() : null, number, bodyNumber));
     }
 }
--- a/src/main/java/pondridge/control/ControlClient.java
+++ b/src/main/java/pondridge/control/ControlClient.java
@@ -58,14 +58,25 @@
     private long differences;
 
     /** A follower; many may share a loop, events and traffic. */
-    public ControlClient(EventLoop loop, ControlSettings settings, Listener listener, Events events,
-            Traffic traffic) {
-        this(loop, settings, new FollowerState(settings.instance(), settings.services(), false, 0), listener,
-                () -> Sums.NONE, events, traffic);
+    public ControlClient(EventLoop loop, ControlSettings settings, Listener listener, Events events, Traffic traffic) {
+        this(
+                loop,
+                settings,
+                new FollowerState(settings.instance(), settings.services(), false, 0),
+                listener,
+                () -> Sums.NONE,
+                events,
+                traffic);
     }
 
-    ControlClient(EventLoop loop, ControlSettings settings, FollowerState state, Listener listener,
-            Supplier<Sums> sums, Events events, Traffic traffic) {
+    ControlClient(
+            EventLoop loop,
+            ControlSettings settings,
+            FollowerState state,
+            Listener listener,
+            Supplier<Sums> sums,
+            Events events,
+            Traffic traffic) {
         this.loop = loop;
         this.settings = settings;
         this.state = state;
@@ -76,8 +87,7 @@
         for (InetSocketAddress each : settings.above()) {
             addresses.put(each.getAddress().getHostAddress() + ':' + each.getPort(), each);
         }
-        this.choice = new RelayChoice(settings.instance(), List.copyOf(addresses.keySet()),
-                settings.choice());
+        this.choice = new RelayChoice(settings.instance(), List.copyOf(addresses.keySet()), settings.choice());
     }
 
     /** Begins to call. */
@@ -142,11 +152,14 @@
     }
 
     private void after(long nanos, Runnable what) {
-        waiting = loop.schedule(() -> {
-            if (!closed && call == null) {
-                what.run();
-            }
-        }, Math.max(0, nanos), TimeUnit.NANOSECONDS);
+        waiting = loop.schedule(
+                () -> {
+                    if (!closed && call == null) {
+                        what.run();
+                    }
+                },
+                Math.max(0, nanos),
+                TimeUnit.NANOSECONDS);
     }
 
     /** Changes are told in any case; the word that nothing has changed is given at once, if it may be. */
@@ -161,8 +174,7 @@
     @Override
     public void fetch() {
         boolean fresh = age() <= settings.stale();
-        tell(fresh ? ListKind.FULL : ListKind.FAILED, fresh ? state.held().since(-1, List.of(), false)
-                : List.of());
+        tell(fresh ? ListKind.FULL : ListKind.FAILED, fresh ? state.held().since(-1, List.of(), false) : List.of());
     }
 
     private void tell(ListKind kind, List<Change> changes) {
@@ -205,7 +217,9 @@
         }
 
         private void connect() {
-            new Bootstrap().group(loop).channel(NioSocketChannel.class)
+            new Bootstrap()
+                    .group(loop)
+                    .channel(NioSocketChannel.class)
                     .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, CONNECT_MS)
                     .option(ChannelOption.TCP_NODELAY, true)
                     .handler(new ChannelInitializer<Channel>() {
@@ -214,7 +228,8 @@
                             addTo(made.pipeline());
                         }
                     })
-                    .connect(addresses.get(relay)).addListener((ChannelFutureListener) made -> {
+                    .connect(addresses.get(relay))
+                    .addListener((ChannelFutureListener) made -> {
                         if (call != this) {
                             made.channel().close();
                         } else if (made.isSuccess()) {
@@ -230,23 +245,26 @@
         /** Looks again and again whether the call is still of use. */
         private void watch() {
             long every = state.hello().passesOn() ? settings.report() : settings.silence() / 4;
-            timer = loop.schedule(() -> {
-                long now = System.nanoTime();
-                if (now - heard > settings.silence()) {
-                    end("silent");
-                } else if (answered && now - begun > settings.stale() && state.age(now) > settings.stale()) {
-                    answered = false;
-                    end("its word is old");
-                } else if (now > homeAt) {
-                    choice.home();
-                    call = null;
-                    close();
-                    dial();
-                } else {
-                    report();
-                    watch();
-                }
-            }, every, TimeUnit.NANOSECONDS);
+            timer = loop.schedule(
+                    () -> {
+                        long now = System.nanoTime();
+                        if (now - heard > settings.silence()) {
+                            end("silent");
+                        } else if (answered && now - begun > settings.stale() && state.age(now) > settings.stale()) {
+                            answered = false;
+                            end("its word is old");
+                        } else if (now > homeAt) {
+                            choice.home();
+                            call = null;
+                            close();
+                            dial();
+                        } else {
+                            report();
+                            watch();
+                        }
+                    },
+                    every,
+                    TimeUnit.NANOSECONDS);
         }
 
         /** Sums go up when they are new. */
@@ -296,11 +314,16 @@
                     differences += update.whole() ? 0 : 1;
                     tell(update.whole() ? ListKind.FULL : ListKind.DELTA, update.changes());
                 }
-                case GAP, MISMATCH -> events.told("refused", relay, (verdict == FollowerState.Verdict.GAP
-                        ? "a difference since " + update.version().epoch() + '.' + update.from()
-                        : "a wrong digest, the whole is asked for: ") + " at " + update.version()
-                        + ", known is " + before);
-                default -> { }
+                case GAP, MISMATCH -> events.told(
+                        "refused",
+                        relay,
+                        (verdict == FollowerState.Verdict.GAP
+                                        ? "a difference since "
+                                                + update.version().epoch() + '.' + update.from()
+                                        : "a wrong digest, the whole is asked for: ")
+                                + " at " + update.version()
+                                + ", known is " + before);
+                default -> {}
             }
             if (!state.absent().isEmpty() && !state.absent().equals(absent)) {
                 events.told("not_there", relay, "services " + String.join(", ", state.absent()));
--- a/src/main/java/pondridge/control/ControlRelay.java
+++ b/src/main/java/pondridge/control/ControlRelay.java
@@ -22,8 +22,14 @@
         this.settings = settings;
         FollowerState state = new FollowerState(settings.instance(), List.of(), true, settings.markers());
         this.server = new ControlServer(loop, settings.serving(), state::held, state::age, down, events);
-        this.client = new ControlClient(loop, settings, state,
-                (version, kind, targets, others) -> server.changed(), server.serving()::sums, events, up);
+        this.client = new ControlClient(
+                loop,
+                settings,
+                state,
+                (version, kind, targets, others) -> server.changed(),
+                server.serving()::sums,
+                events,
+                up);
     }
 
     /** Begins; gives where it listens. */
--- a/src/main/java/pondridge/control/ControlServer.java
+++ b/src/main/java/pondridge/control/ControlServer.java
@@ -41,8 +41,13 @@
     private Channel door;
     private long lastId;
 
-    ControlServer(EventLoop loop, Serving.Limits limits, Supplier<Holdings> held, LongUnaryOperator age,
-            Traffic traffic, Events events) {
+    ControlServer(
+            EventLoop loop,
+            Serving.Limits limits,
+            Supplier<Holdings> held,
+            LongUnaryOperator age,
+            Traffic traffic,
+            Events events) {
         this.loop = loop;
         this.limits = limits;
         this.serving = new Serving(limits, held, age);
@@ -53,8 +58,11 @@
     /** Begins to take watchers; gives the address, or what went wrong. */
     CompletableFuture<InetSocketAddress> listen(InetSocketAddress at) {
         CompletableFuture<InetSocketAddress> told = new CompletableFuture<>();
-        new ServerBootstrap().group(loop).channel(NioServerSocketChannel.class)
-                .option(ChannelOption.SO_BACKLOG, 1_024).option(ChannelOption.SO_REUSEADDR, true)
+        new ServerBootstrap()
+                .group(loop)
+                .channel(NioServerSocketChannel.class)
+                .option(ChannelOption.SO_BACKLOG, 1_024)
+                .option(ChannelOption.SO_REUSEADDR, true)
                 .childOption(ChannelOption.TCP_NODELAY, true)
                 .childHandler(new ChannelInitializer<Channel>() {
                     @Override
@@ -62,7 +70,8 @@
                         new Call(made).begin();
                     }
                 })
-                .bind(at).addListener((io.netty.channel.ChannelFuture bound) -> {
+                .bind(at)
+                .addListener((io.netty.channel.ChannelFuture bound) -> {
                     if (bound.isSuccess()) {
                         door = bound.channel();
                         told.complete((InetSocketAddress) door.localAddress());
--- a/src/main/java/pondridge/control/ControlSettings.java
+++ b/src/main/java/pondridge/control/ControlSettings.java
@@ -31,12 +31,30 @@
  * @param entries at most
  * @param longestMessage that is taken, in bytes
  */
-public record ControlSettings(Role role, String instance, InetSocketAddress listen, Path stateFile, Path feed,
-        List<InetSocketAddress> above, List<String> services, Serving.Limits serving,
-        RelayChoice.Limits choice, long silence, long stale, long fold, long report, int markers, int entries,
+public record ControlSettings(
+        Role role,
+        String instance,
+        InetSocketAddress listen,
+        Path stateFile,
+        Path feed,
+        List<InetSocketAddress> above,
+        List<String> services,
+        Serving.Limits serving,
+        RelayChoice.Limits choice,
+        long silence,
+        long stale,
+        long fold,
+        long report,
+        int markers,
+        int entries,
         int longestMessage) {
     /** What a process is. */
-    public enum Role { OFF, SOURCE, RELAY, FOLLOWER }
+    public enum Role {
+        OFF,
+        SOURCE,
+        RELAY,
+        FOLLOWER
+    }
 
     /** Reads a whole file that holds nothing else. */
     public static ControlSettings read(Path path) {
@@ -51,7 +69,8 @@
         Section section = file.section("control");
         Role role = Role.valueOf(section.word("role", "off", List.of("off", "source", "relay", "follower"))
                 .toUpperCase(Locale.ROOT));
-        String instance = section.text("instance",
+        String instance = section.text(
+                "instance",
                 String.format(Locale.ROOT, "i%016x", ThreadLocalRandom.current().nextLong()));
         String listen = section.text("listen", "none");
         String stateFile = section.text("state_file", "none");
@@ -88,21 +107,31 @@
         if (stale < 2 * beat) {
             throw section.contradiction("stale", "less than twice beat: a good relay would be left");
         }
-        return new ControlSettings(role, instance, serves ? address(section, "listen", listen) : null,
+        return new ControlSettings(
+                role,
+                instance,
+                serves ? address(section, "listen", listen) : null,
                 stateFile.equals("none") ? null : folder.resolve(stateFile),
-                feed.equals("none") ? null : folder.resolve(feed), above, services,
-                new Serving.Limits(section.size("bytes_per_second", "2KiB", "64B", "1MiB"),
+                feed.equals("none") ? null : folder.resolve(feed),
+                above,
+                services,
+                new Serving.Limits(
+                        section.size("bytes_per_second", "2KiB", "64B", "1MiB"),
                         section.size("burst", "16KiB", "1KiB", "64MiB"),
                         section.size("relay_bytes_per_second", "1MiB", "1KiB", "64MiB"),
                         section.fraction("joins_per_second", 100, 0.1, 1e6),
                         section.number("most_watchers", 1_500, 1, 100_000),
-                        section.time("gap", "1s", "0ms", "1min"), beat,
+                        section.time("gap", "1s", "0ms", "1min"),
+                        beat,
                         section.time("ack_within", "10s", "20ms", "10min")),
-                new RelayChoice.Limits(section.time("spread", "2s", "0ms", "10min"),
+                new RelayChoice.Limits(
+                        section.time("spread", "2s", "0ms", "10min"),
                         section.time("pause", "500ms", "1ms", "10min"),
                         section.time("longest_pause", "8s", "1ms", "60min"),
                         section.time("home", "5min", "10ms", "60min")),
-                silence, stale, section.time("fold", "500ms", "10ms", "1min"),
+                silence,
+                stale,
+                section.time("fold", "500ms", "10ms", "1min"),
                 section.time("report", "500ms", "10ms", "1min"),
                 section.number("markers", 8_192, 16, 1 << 20),
                 section.number("entries", 65_536, 1, 1 << 20),
@@ -115,14 +144,28 @@
 
     /** The same for another follower. */
     public ControlSettings as(String other, List<String> its) {
-        return new ControlSettings(role, other, listen, stateFile, feed, above, its, serving, choice, silence,
-                stale, fold, report, markers, entries, longestMessage);
+        return new ControlSettings(
+                role,
+                other,
+                listen,
+                stateFile,
+                feed,
+                above,
+                its,
+                serving,
+                choice,
+                silence,
+                stale,
+                fold,
+                report,
+                markers,
+                entries,
+                longestMessage);
     }
 
     private static InetSocketAddress address(Section section, String key, String text) {
         int colon = text.lastIndexOf(':');
-        InetAddress host = colon < 0 ? null
-                : NetUtil.createInetAddressFromIpAddressString(text.substring(0, colon));
+        InetAddress host = colon < 0 ? null : NetUtil.createInetAddressFromIpAddressString(text.substring(0, colon));
         try {
             int port = Integer.parseInt(text.substring(colon + 1));
             if (host != null && port >= (key.equals("listen") ? 0 : 1) && port <= 0xffff) {
--- a/src/main/java/pondridge/control/ControlSource.java
+++ b/src/main/java/pondridge/control/ControlSource.java
@@ -36,13 +36,13 @@
     });
     /** Of puts that are in no commit yet, and of those in the one that is being written. */
     private List<CompletableFuture<Version>> asked = new ArrayList<>();
+
     private List<CompletableFuture<Version>> sealed = new ArrayList<>();
     private boolean planned;
     private FileTime feedOf;
 
     /** Reads the state file; without one a new epoch begins, numbered by the clock. */
-    public ControlSource(EventLoop loop, ControlSettings settings, Events events, Traffic traffic)
-            throws IOException {
+    public ControlSource(EventLoop loop, ControlSettings settings, Events events, Traffic traffic) throws IOException {
         this.loop = loop;
         this.settings = settings;
         this.events = events;
@@ -59,8 +59,7 @@
 
     /** Begins; gives where it listens. */
     public CompletableFuture<InetSocketAddress> start() {
-        loop.scheduleWithFixedDelay(this::measure, settings.report(), settings.report(),
-                TimeUnit.NANOSECONDS);
+        loop.scheduleWithFixedDelay(this::measure, settings.report(), settings.report(), TimeUnit.NANOSECONDS);
         if (settings.feed() != null) {
             files.scheduleWithFixedDelay(this::feed, 0, LOOK_MS, TimeUnit.MILLISECONDS);
         }
@@ -117,8 +116,8 @@
         all.forEach(each -> named.add(each.service() + '/' + each.name()));
         state.held().since(-1, List.of(), false).stream()
                 .filter(each -> !named.contains(each.service() + '/' + each.name()))
-                .forEach(each -> state.put(new Resource(each.service(), each.name(), Resource.DELETED, ""),
-                        System.nanoTime()));
+                .forEach(each ->
+                        state.put(new Resource(each.service(), each.name(), Resource.DELETED, ""), System.nanoTime()));
         put(all);
     }
 
@@ -171,11 +170,16 @@
         Sums sums = server.serving().sums();
         spread.told(sums, System.nanoTime());
         if (spread.count() > before) {
-            events.told("in_force", "", sums.lowest() + " at " + sums.count() + " after "
-                    + spread.last() / 1_000_000 + " ms");
+            events.told(
+                    "in_force",
+                    "",
+                    sums.lowest() + " at " + sums.count() + " after " + spread.last() / 1_000_000 + " ms");
         } else if (spread.waiting(System.nanoTime()) > settings.silence()) {
-            events.told("not_in_force", String.join(",", sums.behind()), "lowest " + sums.lowest() + " of "
-                    + sums.count() + ", newest " + state.held().version());
+            events.told(
+                    "not_in_force",
+                    String.join(",", sums.behind()),
+                    "lowest " + sums.lowest() + " of " + sums.count() + ", newest "
+                            + state.held().version());
         }
     }
 
--- a/src/main/java/pondridge/control/Digest.java
+++ b/src/main/java/pondridge/control/Digest.java
@@ -9,7 +9,7 @@
     private static final long BASIS = 0xcbf29ce484222325L;
     private static final long PRIME = 0x100000001b3L;
 
-    private Digest() { }
+    private Digest() {}
 
     /** Of one entry; parts are set apart, so that no two entries share a text. */
     static long of(String service, String name, String state, String body) {
--- a/src/main/java/pondridge/control/Events.java
+++ b/src/main/java/pondridge/control/Events.java
@@ -10,7 +10,7 @@
 /** What an operator should know; told on the loop. */
 public interface Events {
     /** Nobody is told. */
-    Events NONE = (event, peer, detail) -> { };
+    Events NONE = (event, peer, detail) -> {};
 
     /**
      * Something has happened.
--- a/src/main/java/pondridge/control/Feed.java
+++ b/src/main/java/pondridge/control/Feed.java
@@ -14,7 +14,7 @@
 final class Feed {
     private static final int LARGEST = 64 << 20;
 
-    private Feed() { }
+    private Feed() {}
 
     /** Reads it; an {@link IOException} names file and line of the first mistake. */
     static List<Resource> read(Path path) throws IOException {
@@ -30,8 +30,11 @@
             }
             try {
                 JsonNode node = Codec.read(text.getBytes(java.nio.charset.StandardCharsets.UTF_8));
-                all.add(new Resource(node.path("service").asText(), node.path("name").asText(),
-                        node.path("state").asText("SERVING"), node.path("body").asText("")));
+                all.add(new Resource(
+                        node.path("service").asText(),
+                        node.path("name").asText(),
+                        node.path("state").asText("SERVING"),
+                        node.path("body").asText("")));
             } catch (IllegalArgumentException e) {
                 throw new IOException(path + ": line " + line + ": " + e.getMessage(), e);
             }
--- a/src/main/java/pondridge/control/Frames.java
+++ b/src/main/java/pondridge/control/Frames.java
@@ -37,8 +37,7 @@
     abstract void bad(String problem);
 
     void addTo(ChannelPipeline pipeline) {
-        pipeline.addLast(new LengthFieldBasedFrameDecoder(LONGEST_FRAME + LENGTH, 0, LENGTH, 0, LENGTH),
-                this);
+        pipeline.addLast(new LengthFieldBasedFrameDecoder(LONGEST_FRAME + LENGTH, 0, LENGTH, 0, LENGTH), this);
     }
 
     /** Sends one; gives its size with all frames. */
@@ -47,10 +46,12 @@
         int most = LONGEST_FRAME - 1;
         for (int at = 0; at < message.length || at == 0; at += most) {
             int length = Math.min(most, message.length - at);
-            ByteBuf head = channel.alloc().buffer(LENGTH + 1).writeInt(length + 1)
+            ByteBuf head = channel.alloc()
+                    .buffer(LENGTH + 1)
+                    .writeInt(length + 1)
                     .writeByte(at + length < message.length ? MORE : LAST);
-            channel.write(Unpooled.wrappedBuffer(head, Unpooled.wrappedBuffer(message, at, length)),
-                    channel.voidPromise());
+            channel.write(
+                    Unpooled.wrappedBuffer(head, Unpooled.wrappedBuffer(message, at, length)), channel.voidPromise());
             total += LENGTH + 1 + length;
         }
         channel.flush();
@@ -92,7 +93,9 @@
 
     @Override
     public void exceptionCaught(ChannelHandlerContext context, Throwable cause) {
-        bad(cause instanceof io.netty.handler.codec.TooLongFrameException
-                ? "a frame of more than " + LONGEST_FRAME + " bytes" : cause.toString());
+        bad(
+                cause instanceof io.netty.handler.codec.TooLongFrameException
+                        ? "a frame of more than " + LONGEST_FRAME + " bytes"
+                        : cause.toString());
     }
 }
--- a/src/main/java/pondridge/control/Hello.java
+++ b/src/main/java/pondridge/control/Hello.java
@@ -16,8 +16,8 @@
     Hello {
         Resource.checkName("instance", instance);
         if (services.size() > MOST_SERVICES) {
-            throw new IllegalArgumentException("services of " + instance + ": " + services.size() + ", "
-                    + MOST_SERVICES + " at most");
+            throw new IllegalArgumentException(
+                    "services of " + instance + ": " + services.size() + ", " + MOST_SERVICES + " at most");
         }
         services.forEach(each -> Resource.checkName("service", each));
     }
--- a/src/main/java/pondridge/control/Holdings.java
+++ b/src/main/java/pondridge/control/Holdings.java
@@ -15,7 +15,7 @@
  */
 final class Holdings {
     /** One key; the body is null for a marker of what has gone. */
-    private record Held(String state, String body, long hash, long number, long bodyNumber) { }
+    private record Held(String state, String body, long hash, long number, long bodyNumber) {}
 
     private static final class Service {
         private final Map<String, Held> held = new HashMap<>(8);
@@ -107,8 +107,13 @@
                 its.held.forEach((name, held) -> {
                     if (held.number > number && (held.body != null || numbered || number >= 0)) {
                         boolean with = held.body != null && held.bodyNumber > number;
-                        changes.add(new Change(each, name, held.state, with ? held.body : null,
-                                numbered ? held.number : 0, numbered && with ? held.bodyNumber : 0));
+                        changes.add(new Change(
+                                each,
+                                name,
+                                held.state,
+                                with ? held.body : null,
+                                numbered ? held.number : 0,
+                                numbered && with ? held.bodyNumber : 0));
                     }
                 });
             }
@@ -131,8 +136,10 @@
                 return null;
             }
             sum -= known ? held.hash : 0;
-            sum += each.gone() ? 0 : Digest.of(each.service(), each.name(), each.state(),
-                    each.body() == null ? held.body : each.body());
+            sum += each.gone()
+                    ? 0
+                    : Digest.of(
+                            each.service(), each.name(), each.state(), each.body() == null ? held.body : each.body());
         }
         return sum;
     }
@@ -176,8 +183,14 @@
         }
         String body = change.body() == null ? old.body : change.body();
         long hash = Digest.of(change.service(), change.name(), change.state(), body);
-        its.held.put(change.name(), new Held(change.state(), body, hash, number, change.body() == null
-                ? old.bodyNumber : change.bodyNumber() == 0 ? to : change.bodyNumber()));
+        its.held.put(
+                change.name(),
+                new Held(
+                        change.state(),
+                        body,
+                        hash,
+                        number,
+                        change.body() == null ? old.bodyNumber : change.bodyNumber() == 0 ? to : change.bodyNumber()));
         its.digest += hash;
         digest += hash;
         its.live++;
--- a/src/main/java/pondridge/control/Names.java
+++ b/src/main/java/pondridge/control/Names.java
@@ -12,9 +12,10 @@
 final class Names {
     /** Of one group; more make no sense in one message. */
     static final int MOST = 1 << 17;
+
     private static final int MOST_DIGITS = 9;
 
-    private Names() { }
+    private Names() {}
 
     /** As groups, in the names' order. */
     static List<String> pack(List<String> names) {
@@ -60,7 +61,9 @@
 
     private static int digits(String name) {
         int from = name.length();
-        while (from > 0 && name.length() - from < MOST_DIGITS && name.charAt(from - 1) >= '0'
+        while (from > 0
+                && name.length() - from < MOST_DIGITS
+                && name.charAt(from - 1) >= '0'
                 && name.charAt(from - 1) <= '9') {
             from--;
         }
@@ -70,12 +73,13 @@
     /** How much higher the second's number is; 0 where they do not go together. */
     private static int gap(String one, String next) {
         int from = digits(next);
-        if (one.length() != next.length() || from == next.length() || digits(one) != from
+        if (one.length() != next.length()
+                || from == next.length()
+                || digits(one) != from
                 || !one.regionMatches(0, next, 0, from)) {
             return 0;
         }
-        return Integer.parseInt(next, from, next.length(), 10)
-                - Integer.parseInt(one, from, one.length(), 10);
+        return Integer.parseInt(next, from, next.length(), 10) - Integer.parseInt(one, from, one.length(), 10);
     }
 
     /** The names of one group; throws {@link IllegalArgumentException} for what is none. */
@@ -89,7 +93,7 @@
         int width = first.length() - from;
         try {
             long number = plus < 0 ? 0 : Long.parseLong(first.substring(from));
-            for (int at = plus; at >= 0;) {
+            for (int at = plus; at >= 0; ) {
                 int next = group.indexOf('+', at + 1);
                 String run = group.substring(at + 1, next < 0 ? group.length() : next);
                 int star = run.indexOf('*');
@@ -109,8 +113,8 @@
                 at = next;
             }
         } catch (NumberFormatException e) {
-            throw new IllegalArgumentException("names: not a group: " + (group.length() <= 80 ? group
-                    : group.substring(0, 80) + "..."), e);
+            throw new IllegalArgumentException(
+                    "names: not a group: " + (group.length() <= 80 ? group : group.substring(0, 80) + "..."), e);
         }
         return names;
     }
--- a/src/main/java/pondridge/control/RelayChoice.java
+++ b/src/main/java/pondridge/control/RelayChoice.java
@@ -21,10 +21,10 @@
      * @param longestPause at most
      * @param home an instance away from its first choice goes back after once to twice this time
      */
-    record Limits(long spread, long pause, long longestPause, long home) { }
+    record Limits(long spread, long pause, long longestPause, long home) {}
 
     /** Whom to dial, and when. */
-    record Dial(String relay, long at) { }
+    record Dial(String relay, long at) {}
 
     private static final class Seen {
         private long until = Long.MIN_VALUE;
@@ -43,7 +43,8 @@
         this.instance = instance;
         this.limits = limits;
         this.order = new ArrayList<>(relays);
-        order.sort(Comparator.<String>comparingLong(each -> Digest.of(instance, each)).reversed());
+        order.sort(Comparator.<String>comparingLong(each -> Digest.of(instance, each))
+                .reversed());
         order.forEach(each -> seen.put(each, new Seen()));
     }
 
@@ -91,8 +92,7 @@
 
     /** When it is to go back to its first choice from this one; MAX where it is there. */
     long homeward(String relay, long now) {
-        return relay.equals(order.get(0)) ? Long.MAX_VALUE
-                : now + limits.home + (long) (phase(relay) * limits.home);
+        return relay.equals(order.get(0)) ? Long.MAX_VALUE : now + limits.home + (long) (phase(relay) * limits.home);
     }
 
     /** It goes home: the first choice is dialled now, whatever it was before. */
--- a/src/main/java/pondridge/control/Resource.java
+++ b/src/main/java/pondridge/control/Resource.java
@@ -12,6 +12,7 @@
 public record Resource(String service, String name, String state, String body) {
     /** The state of one that is to go. */
     public static final String DELETED = "DELETED";
+
     static final int LONGEST_BODY = 16 << 10;
     private static final Pattern NAME = Pattern.compile("@?[A-Za-z0-9._:-]{1,64}");
     private static final Pattern STATE = Pattern.compile("[A-Z_]{1,16}");
@@ -21,8 +22,8 @@
         checkName("service", service);
         checkName("name", name);
         if (!STATE.matcher(state).matches()) {
-            throw new IllegalArgumentException("state of " + service + '/' + name
-                    + ": expected 1 to 16 capital letters");
+            throw new IllegalArgumentException(
+                    "state of " + service + '/' + name + ": expected 1 to 16 capital letters");
         }
         if (body.length() > LONGEST_BODY) {
             throw new IllegalArgumentException("body of " + service + '/' + name + ": " + body.length()
--- a/src/main/java/pondridge/control/Serving.java
+++ b/src/main/java/pondridge/control/Serving.java
@@ -26,8 +26,15 @@
      * @param beat without news a word is given so often
      * @param ackWithin an update not acknowledged by then ends the call
      */
-    record Limits(double bytesPerSecond, double burst, double relayBytesPerSecond, double joinsPerSecond,
-            int mostWatchers, long gap, long beat, long ackWithin) { }
+    record Limits(
+            double bytesPerSecond,
+            double burst,
+            double relayBytesPerSecond,
+            double joinsPerSecond,
+            int mostWatchers,
+            long gap,
+            long beat,
+            long ackWithin) {}
 
     /**
      * What is to be done for a watcher.
@@ -104,8 +111,7 @@
 
     /** Why no more are taken; null while some are. */
     String full() {
-        return watchers.size() < limits.mostWatchers ? null
-                : "full: " + limits.mostWatchers + " watchers at most";
+        return watchers.size() < limits.mostWatchers ? null : "full: " + limits.mostWatchers + " watchers at most";
     }
 
     /**
@@ -116,7 +122,8 @@
     long joined(long id, Hello hello, long now) {
         Long former = byInstance.put(hello.instance(), id);
         nextJoin = Math.max(now, nextJoin);
-        Pace pace = hello.passesOn() ? new Pace(limits.relayBytesPerSecond, limits.relayBytesPerSecond, now)
+        Pace pace = hello.passesOn()
+                ? new Pace(limits.relayBytesPerSecond, limits.relayBytesPerSecond, now)
                 : new Pace(limits.bytesPerSecond, limits.burst, now);
         watchers.put(id, new Watcher(hello, pace, nextJoin, now));
         nextJoin += (long) (1e9 / limits.joinsPerSecond);
@@ -139,8 +146,8 @@
         }
         if (watcher.inFlight) {
             long until = watcher.sentAt + limits.ackWithin;
-            return new Step(null, until, now < until ? null : "nothing acknowledged in time: "
-                    + watcher.hello.instance());
+            return new Step(
+                    null, until, now < until ? null : "nothing acknowledged in time: " + watcher.hello.instance());
         }
         long from = Math.max(watcher.joinAt, watcher.pace.from(now));
         if (watcher.answered) {
@@ -171,19 +178,18 @@
     /** Whether there is more to be known than a watcher has; not where it is itself ahead. */
     private boolean news(Watcher watcher) {
         Version own = held.get().version();
-        return watcher.has.compareTo(own) < 0 && (watcher.has.epoch() != own.epoch()
-                || held.get().changedSince(watcher.has.number(), watcher.hello.services()));
+        return watcher.has.compareTo(own) < 0
+                && (watcher.has.epoch() != own.epoch()
+                        || held.get().changedSince(watcher.has.number(), watcher.hello.services()));
     }
 
     private Update update(Watcher watcher, long now) {
         Holdings all = held.get();
         Hello hello = watcher.hello;
         boolean ahead = watcher.has.compareTo(all.version()) >= 0;
-        boolean whole = !ahead && (watcher.has.epoch() != all.version().epoch()
-                || watcher.has.number() < all.floor());
+        boolean whole = !ahead && (watcher.has.epoch() != all.version().epoch() || watcher.has.number() < all.floor());
         long from = whole ? 0 : Math.min(watcher.has.number(), all.version().number());
-        List<Change> changes = ahead ? List.of()
-                : all.since(whole ? -1 : from, hello.services(), hello.passesOn());
+        List<Change> changes = ahead ? List.of() : all.since(whole ? -1 : from, hello.services(), hello.passesOn());
         wholes += whole ? 1 : 0;
         differences += !whole && !changes.isEmpty() ? 1 : 0;
         List<String> absent = new ArrayList<>();
@@ -193,8 +199,15 @@
             }
         }
         long old = age.applyAsLong(now);
-        return new Update(++watcher.serial, all.version(), whole, ahead ? all.version().number() : from,
-                hello.passesOn() ? all.floor() : 0, changes, absent, all.digest(hello.services()),
+        return new Update(
+                ++watcher.serial,
+                all.version(),
+                whole,
+                ahead ? all.version().number() : from,
+                hello.passesOn() ? all.floor() : 0,
+                changes,
+                absent,
+                all.digest(hello.services()),
                 old == Long.MAX_VALUE ? -1 : old / 1_000_000);
     }
 
@@ -226,7 +239,9 @@
                 sum = sum.plus(each.below);
             } else {
                 boolean behind = news(each);
-                sum = sum.plus(new Sums(1, behind || each.has.compareTo(own) > 0 ? each.has : own,
+                sum = sum.plus(new Sums(
+                        1,
+                        behind || each.has.compareTo(own) > 0 ? each.has : own,
                         behind ? List.of(each.hello.instance()) : List.of()));
             }
         }
--- a/src/main/java/pondridge/control/SourceFile.java
+++ b/src/main/java/pondridge/control/SourceFile.java
@@ -69,26 +69,36 @@
     }
 
     private IOException torn(String why) {
-        return new IOException(path + ": not whole: " + why + "; put back a good copy, or move it away to "
-                + "begin a new epoch");
+        return new IOException(
+                path + ": not whole: " + why + "; put back a good copy, or move it away to " + "begin a new epoch");
     }
 
     void write(Holdings held) throws IOException {
-        byte[] body = Codec.update(new Update(0, held.version(), true, 0, held.floor(),
-                held.since(-1, List.of(), true), List.of(), held.digest(List.of()), 0));
+        byte[] body = Codec.update(new Update(
+                0,
+                held.version(),
+                true,
+                0,
+                held.floor(),
+                held.since(-1, List.of(), true),
+                List.of(),
+                held.digest(List.of()),
+                0));
         Path beside = path.resolveSibling(path.getFileName() + ".new");
-        try (FileChannel file = FileChannel.open(beside, StandardOpenOption.CREATE,
-                StandardOpenOption.TRUNCATE_EXISTING, StandardOpenOption.WRITE)) {
-            ByteBuffer[] parts = {ByteBuffer.wrap((MAGIC + ' ' + body.length + ' ' + sum(body) + '\n')
-                    .getBytes(StandardCharsets.US_ASCII)), ByteBuffer.wrap(body)};
+        try (FileChannel file = FileChannel.open(
+                beside, StandardOpenOption.CREATE, StandardOpenOption.TRUNCATE_EXISTING, StandardOpenOption.WRITE)) {
+            ByteBuffer[] parts = {
+                ByteBuffer.wrap(
+                        (MAGIC + ' ' + body.length + ' ' + sum(body) + '\n').getBytes(StandardCharsets.US_ASCII)),
+                ByteBuffer.wrap(body)
+            };
             while (parts[1].hasRemaining()) {
                 file.write(parts);
             }
             file.force(true);
         }
         Files.move(beside, path, StandardCopyOption.ATOMIC_MOVE, StandardCopyOption.REPLACE_EXISTING);
-        try (FileChannel folder = FileChannel.open(path.toAbsolutePath().getParent(),
-                StandardOpenOption.READ)) {
+        try (FileChannel folder = FileChannel.open(path.toAbsolutePath().getParent(), StandardOpenOption.READ)) {
             folder.force(true);
         }
     }
--- a/src/main/java/pondridge/control/SourceState.java
+++ b/src/main/java/pondridge/control/SourceState.java
@@ -10,7 +10,7 @@
  * durable. Times in nanoseconds; no I/O, not for several threads.
  */
 final class SourceState {
-    private record Key(String service, String name) { }
+    private record Key(String service, String name) {}
 
     private final long fold;
     private final int mostEntries;
@@ -50,10 +50,12 @@
     /** A key's new state; the last one before a commit counts. */
     void put(Resource resource, long now) {
         Key key = new Key(resource.service(), resource.name());
-        if (live.live() + pending() >= mostEntries && !resource.gone() && !pending.containsKey(key)
+        if (live.live() + pending() >= mostEntries
+                && !resource.gone()
+                && !pending.containsKey(key)
                 && live.get(resource.service(), resource.name()) == null) {
-            throw new IllegalArgumentException(resource.service() + '/' + resource.name() + ": " + mostEntries
-                    + " entries at most");
+            throw new IllegalArgumentException(
+                    resource.service() + '/' + resource.name() + ": " + mostEntries + " entries at most");
         }
         if (pending.isEmpty()) {
             since = now;
@@ -74,8 +76,13 @@
             Resource old = live.get(key.service(), key.name());
             if (old == null ? !wanted.gone() : !old.equals(wanted)) {
                 boolean same = wanted.gone() || old != null && old.body().equals(wanted.body());
-                changes.add(new Change(key.service(), key.name(), wanted.state(),
-                        same ? null : wanted.body(), version.number(), same ? 0 : version.number()));
+                changes.add(new Change(
+                        key.service(),
+                        key.name(),
+                        wanted.state(),
+                        same ? null : wanted.body(),
+                        version.number(),
+                        same ? 0 : version.number()));
             }
         });
         writing = new LinkedHashMap<>(pending);
--- a/src/main/java/pondridge/control/Spread.java
+++ b/src/main/java/pondridge/control/Spread.java
@@ -9,7 +9,7 @@
 final class Spread {
     private static final int MOST_OPEN = 1_024;
 
-    private record Commit(Version version, long at) { }
+    private record Commit(Version version, long at) {}
 
     private final ArrayDeque<Commit> open = new ArrayDeque<>();
     private long last = -1;
@@ -25,8 +25,7 @@
 
     /** All that are known have at least this version; nothing is measured while there is nobody. */
     void told(Sums sums, long now) {
-        while (!open.isEmpty() && sums.lowest() != null
-                && sums.lowest().compareTo(open.peek().version) >= 0) {
+        while (!open.isEmpty() && sums.lowest() != null && sums.lowest().compareTo(open.peek().version) >= 0) {
             last = now - open.poll().at;
             longest = Math.max(longest, last);
             count++;
--- a/src/main/java/pondridge/control/Sums.java
+++ b/src/main/java/pondridge/control/Sums.java
@@ -13,14 +13,20 @@
 public record Sums(long count, Version lowest, List<String> behind) {
     /** Nobody below. */
     public static final Sums NONE = new Sums(0, null, List.of());
+
     static final int MOST_NAMES = 3;
 
     /** Both together. */
     Sums plus(Sums other) {
         List<String> names = new ArrayList<>(behind);
-        other.behind.stream().limit(MOST_NAMES - Math.min(MOST_NAMES, names.size())).forEach(names::add);
-        return new Sums(count + other.count, lowest == null ? other.lowest
-                : other.lowest == null || lowest.compareTo(other.lowest) <= 0 ? lowest : other.lowest,
+        other.behind.stream()
+                .limit(MOST_NAMES - Math.min(MOST_NAMES, names.size()))
+                .forEach(names::add);
+        return new Sums(
+                count + other.count,
+                lowest == null
+                        ? other.lowest
+                        : other.lowest == null || lowest.compareTo(other.lowest) <= 0 ? lowest : other.lowest,
                 names);
     }
 }
--- a/src/main/java/pondridge/control/Targets.java
+++ b/src/main/java/pondridge/control/Targets.java
@@ -13,20 +13,37 @@
 public final class Targets {
     private static final int FIELDS = 6;
 
-    private Targets() { }
+    private Targets() {}
 
     /** As a resource of a service. */
     public static Resource resource(String service, Target target) {
-        String state = switch (target.state()) {
-            case READY -> "SERVING";
-            case DRAINING -> "DRAINING";
-            case GONE -> Resource.DELETED;
-        };
-        return new Resource(service, target.uid(), state, target.state() == State.GONE ? ""
-                : target.endpoint().getAddress().getHostAddress() + ':' + target.endpoint().getPort() + ' '
-                + text(target.zone()) + ' ' + text(target.kind()) + ' ' + target.cell() + ' '
-                + (target.weight() == (int) target.weight() ? Integer.toString((int) target.weight())
-                : Float.toString(target.weight())) + ' ' + target.startedMs());
+        String state =
+                switch (target.state()) {
+                    case READY -> "SERVING";
+                    case DRAINING -> "DRAINING";
+                    case GONE -> Resource.DELETED;
+                };
+        return new Resource(
+                service,
+                target.uid(),
+                state,
+                target.state() == State.GONE
+                        ? ""
+                        : target.endpoint().getAddress().getHostAddress()
+                                + ':'
+                                + target.endpoint().getPort()
+                                + ' '
+                                + text(target.zone())
+                                + ' '
+                                + text(target.kind())
+                                + ' '
+                                + target.cell()
+                                + ' '
+                                + (target.weight() == (int) target.weight()
+                                        ? Integer.toString((int) target.weight())
+                                        : Float.toString(target.weight()))
+                                + ' '
+                                + target.startedMs());
     }
 
     private static String text(String text) {
@@ -43,10 +60,16 @@
             int colon = parts[0].lastIndexOf(':');
             String host = parts[0].substring(0, Math.max(0, colon));
             if (parts.length == FIELDS && host.matches("[0-9.]{7,15}|[0-9a-fA-F:]{2,45}")) {
-                return new Target(name, new InetSocketAddress(InetAddress.getByName(host),
-                        Integer.parseInt(parts[0].substring(colon + 1))), empty(parts[1]), empty(parts[2]),
-                        Integer.parseInt(parts[3]), state.equals("SERVING") ? State.READY : State.DRAINING,
-                        Float.parseFloat(parts[4]), Long.parseLong(parts[5]));
+                return new Target(
+                        name,
+                        new InetSocketAddress(
+                                InetAddress.getByName(host), Integer.parseInt(parts[0].substring(colon + 1))),
+                        empty(parts[1]),
+                        empty(parts[2]),
+                        Integer.parseInt(parts[3]),
+                        state.equals("SERVING") ? State.READY : State.DRAINING,
+                        Float.parseFloat(parts[4]),
+                        Long.parseLong(parts[5]));
             }
         } catch (IllegalArgumentException | UnknownHostException e) {
             // Told below.
--- a/src/main/java/pondridge/control/Update.java
+++ b/src/main/java/pondridge/control/Update.java
@@ -15,5 +15,13 @@
  * @param digest of all that the watcher holds when it has taken this
  * @param ageMs how long ago the source was heard by the sender, in milliseconds
  */
-record Update(long serial, Version version, boolean whole, long from, long floor, List<Change> changes,
-        List<String> absent, long digest, long ageMs) { }
+record Update(
+        long serial,
+        Version version,
+        boolean whole,
+        long from,
+        long floor,
+        List<Change> changes,
+        List<String> absent,
+        long digest,
+        long ageMs) {}
--- a/src/main/java/pondridge/core/Client.java
+++ b/src/main/java/pondridge/core/Client.java
@@ -6,7 +6,7 @@
  */
 public interface Client {
     /** Called right before {@link #refused} or {@link #failed}, with what had been tried; for who asks. */
-    default void tried(Tried tried) { }
+    default void tried(Tried tried) {}
 
     /**
      * Whether it is still there, asked right before something is sent on for it. Who says no calls
--- a/src/main/java/pondridge/core/Engine.java
+++ b/src/main/java/pondridge/core/Engine.java
@@ -40,6 +40,7 @@
     private static final long UNREAD_TIME = 50_000_000;
     /** The module's messages have 256 bytes: this many servers in one. */
     private static final int HEARD_BYTES = 12;
+
     private static final int MOST_HEARD = 256 / HEARD_BYTES;
     private static final int LEASE_BYTES = 16;
     private static final int MOST_LEASES = 256 / LEASE_BYTES;
@@ -56,9 +57,11 @@
         private boolean doubt;
         /** When the first attempt that may have run was sent. */
         private long doubtSince;
+
         private long lookedAt;
         /** Found gone by a look; its front will say so, too. */
         private boolean left;
+
         private boolean over;
 
         Call(Job job, Client client) {
@@ -72,8 +75,7 @@
                 doubt = true;
                 doubtSince = sentAt;
             }
-            boolean answered = outcome == Outcome.OK || outcome == Outcome.ERROR
-                    || outcome == Outcome.REJECTED;
+            boolean answered = outcome == Outcome.OK || outcome == Outcome.ERROR || outcome == Outcome.REJECTED;
             reached += answered ? 1 : 0;
         }
 
@@ -111,6 +113,7 @@
         private final long sentAt;
         /** From then on it must not be written any more. */
         private final long beginBy;
+
         private Future<?> tooLate;
 
         Try(long id, Call call, int number, long upstream, long sentAt) {
@@ -121,15 +124,16 @@
             this.sentAt = sentAt;
             RequestClass kind = classes.get(call.job.requestClass());
             this.beginBy = call.doubt && kind.semantics() == Semantics.BY_KEY
-                    ? Math.min(call.deadline, call.doubtSince + kind.keyTtl()) : call.deadline;
+                    ? Math.min(call.deadline, call.doubtSince + kind.keyTtl())
+                    : call.deadline;
         }
 
         void begin(long wait) {
             call.attempts.set(number, transport.send(upstream, call.job, wait, this));
             // Danger: a connection may take longer to come up than servers remember the key.
             if (beginBy < call.deadline) {
-                tooLate = loop.schedule(() -> call.attempts.get(number).withdraw(),
-                        Math.max(0, beginBy - now()), TimeUnit.NANOSECONDS);
+                tooLate = loop.schedule(
+                        () -> call.attempts.get(number).withdraw(), Math.max(0, beginBy - now()), TimeUnit.NANOSECONDS);
             }
         }
 
@@ -165,6 +169,7 @@
     private RequestLog log = RequestLog.NONE;
     /** Kept for the log only. */
     private final Map<Long, String> loggedNames = new HashMap<>();
+
     private boolean telling;
     private boolean retired;
     private long endsAt = Long.MAX_VALUE;
@@ -174,6 +179,7 @@
     private final ArrayDeque<Runnable> turn = new ArrayDeque<>(1);
     /** Ends of two turns: all that had come before the earlier one has been read by now. */
     private long turnedAt;
+
     private long turnedBefore;
     private boolean looking;
 
@@ -272,20 +278,22 @@
      * @param startedMs as the list tells it
      * @param age nanoseconds since it was seen here, never more than since it was
      */
-    public record Start(long startedMs, long age) { }
+    public record Start(long startedMs, long age) {}
 
     /** So many requests may be sent to a server that has started, for so many milliseconds from now. */
-    public record Lease(float count, int millis) { }
+    public record Lease(float count, int millis) {}
 
     /** Tells the module its parts of what all sidecars may send to some cold servers. */
     public void leased(Map<String, Lease> parts) {
         List<Map.Entry<String, Lease>> known = parts.entrySet().stream()
-                .filter(each -> upstreamIds.containsKey(each.getKey())).toList();
+                .filter(each -> upstreamIds.containsKey(each.getKey()))
+                .toList();
         for (int i = 0; i < known.size(); i += MOST_LEASES) {
             List<Map.Entry<String, Lease>> some = known.subList(i, Math.min(known.size(), i + MOST_LEASES));
             ByteBuffer message = ByteBuffer.allocate(LEASE_BYTES * some.size());
             some.forEach(each -> message.putLong(upstreamIds.get(each.getKey()))
-                    .putFloat(each.getValue().count).putInt(each.getValue().millis));
+                    .putFloat(each.getValue().count)
+                    .putInt(each.getValue().millis));
             tell(now -> rules.peerMessage(now, Balancer.LEASES, message.array()));
         }
     }
@@ -293,7 +301,9 @@
     /** Tells the module how many times slower than usual other sidecars find some servers. */
     public void heard(Map<String, Double> slower) {
         List<Map.Entry<String, Double>> known = slower.entrySet().stream()
-                .filter(each -> upstreamIds.containsKey(each.getKey())).limit(MOST_HEARD).toList();
+                .filter(each -> upstreamIds.containsKey(each.getKey()))
+                .limit(MOST_HEARD)
+                .toList();
         if (known.isEmpty()) {
             return;
         }
@@ -313,8 +323,14 @@
             if (log != RequestLog.NONE) {
                 loggedNames.put(id, target.uid());
             }
-            entries.add(new Upstream(id, number(zones, target.zone()), number(kinds, target.kind()),
-                    target.cell(), target.state(), target.weight(), target.startedMs() * 1_000_000));
+            entries.add(new Upstream(
+                    id,
+                    number(zones, target.zone()),
+                    number(kinds, target.kind()),
+                    target.cell(),
+                    target.state(),
+                    target.weight(),
+                    target.startedMs() * 1_000_000));
         }
         if (observer != null) {
             list.listed(kind, named, System.nanoTime(), System.currentTimeMillis());
@@ -324,12 +340,13 @@
                 if (target.state() == State.GONE) {
                     transport.gone(id);
                 } else {
-                    transport.listed(id, target.endpoint(), target.startedMs(),
-                            target.state() == State.READY);
+                    transport.listed(id, target.endpoint(), target.startedMs(), target.state() == State.READY);
                 }
             });
             if (kind == ListKind.FULL) {
-                upstreamIds.values().stream().filter(id -> !named.containsKey(id)).forEach(transport::gone);
+                upstreamIds.values().stream()
+                        .filter(id -> !named.containsKey(id))
+                        .forEach(transport::gone);
             }
             rules.listChanged(now, kind, entries);
         });
@@ -351,10 +368,13 @@
         call.deadline = came + left;
         calls.put(id, call);
         // The module answers by its own deadline; this holds for whatever it may have missed.
-        call.timer = loop.schedule(() -> tell(now -> {
-            finish(id, call, "failed at the deadline", call::failed);
-            rules.hangup(now, id);
-        }), left + ANSWER_ROOM / 2, TimeUnit.NANOSECONDS);
+        call.timer = loop.schedule(
+                () -> tell(now -> {
+                    finish(id, call, "failed at the deadline", call::failed);
+                    rules.hangup(now, id);
+                }),
+                left + ANSWER_ROOM / 2,
+                TimeUnit.NANOSECONDS);
         if (looking || came - turnedBefore > UNREAD_TIME) {
             // Its client's end may lie right behind it; not read from within the reading of that socket.
             turn.add(() -> begin(id, call));
@@ -388,9 +408,17 @@
         }
         tell(now -> {
             Job job = call.job;
-            rules.request(now, new Request(id, job.requestClass(), job.tenant(), job.key(),
-                    Math.max(1, call.deadline - now), job.costHint(), job.clientRetry(),
-                    !job.method().equals(HttpMethod.GET)));
+            rules.request(
+                    now,
+                    new Request(
+                            id,
+                            job.requestClass(),
+                            job.tenant(),
+                            job.key(),
+                            Math.max(1, call.deadline - now),
+                            job.costHint(),
+                            job.clientRetry(),
+                            !job.method().equals(HttpMethod.GET)));
         });
     }
 
@@ -532,15 +560,15 @@
         if (retired && calls.isEmpty()) {
             return;
         }
-        loop.schedule(() -> tell(now -> rules.timer(now, token)), Math.max(0, at - now()),
-                TimeUnit.NANOSECONDS);
+        loop.schedule(() -> tell(now -> rules.timer(now, token)), Math.max(0, at - now()), TimeUnit.NANOSECONDS);
     }
 
     @Override
     public void probe(long upstream) {
         long sentAt = now();
-        transport.probe(upstream, (outcome, answer, load) -> tell(now ->
-                rules.probeResult(now, upstream, outcome, now - sentAt, load)));
+        transport.probe(
+                upstream,
+                (outcome, answer, load) -> tell(now -> rules.probeResult(now, upstream, outcome, now - sentAt, load)));
     }
 
     @Override
--- a/src/main/java/pondridge/core/Evidence.java
+++ b/src/main/java/pondridge/core/Evidence.java
@@ -7,7 +7,7 @@
     /** The header by which an upstream says that it turned a request away unseen. */
     public static final String DECLINED = "Srv-Declined";
 
-    private Evidence() { }
+    private Evidence() {}
 
     /**
      * An answer's outcome.
--- a/src/main/java/pondridge/core/Headers.java
+++ b/src/main/java/pondridge/core/Headers.java
@@ -11,18 +11,27 @@
 /** Which headers go on through the sidecar. */
 public final class Headers {
     /** They speak of one connection, or tell the sidecar what is not for the application. */
-    private static final List<CharSequence> HOP_BY_HOP = List.of(HttpHeaderNames.CONNECTION,
-            "Proxy-Connection", "Keep-Alive", HttpHeaderNames.TE, HttpHeaderNames.TRAILER,
-            HttpHeaderNames.TRANSFER_ENCODING, HttpHeaderNames.UPGRADE, HttpHeaderNames.EXPECT,
-            HttpHeaderNames.PROXY_AUTHENTICATE, HttpHeaderNames.PROXY_AUTHORIZATION, "Srv-Load",
+    private static final List<CharSequence> HOP_BY_HOP = List.of(
+            HttpHeaderNames.CONNECTION,
+            "Proxy-Connection",
+            "Keep-Alive",
+            HttpHeaderNames.TE,
+            HttpHeaderNames.TRAILER,
+            HttpHeaderNames.TRANSFER_ENCODING,
+            HttpHeaderNames.UPGRADE,
+            HttpHeaderNames.EXPECT,
+            HttpHeaderNames.PROXY_AUTHENTICATE,
+            HttpHeaderNames.PROXY_AUTHORIZATION,
+            "Srv-Load",
             "Srv-Declined");
 
-    private Headers() { }
+    private Headers() {}
 
     /** Whether a message's transfer coding is plain chunks: any other leaves open where it ends. */
     public static boolean onlyChunked(HttpMessage message) {
         List<String> codings = message.headers().getAll(HttpHeaderNames.TRANSFER_ENCODING);
-        return codings.size() == 1 && codings.get(0).trim().equalsIgnoreCase("chunked")
+        return codings.size() == 1
+                && codings.get(0).trim().equalsIgnoreCase("chunked")
                 && message.protocolVersion().equals(HttpVersion.HTTP_1_1)
                 && !message.headers().contains(HttpHeaderNames.CONTENT_LENGTH);
     }
--- a/src/main/java/pondridge/core/Job.java
+++ b/src/main/java/pondridge/core/Job.java
@@ -14,8 +14,17 @@
  * @param clientRetry the client marked it as a repeat
  * @param headers all that came; transports pass on what {@link Headers} lets through
  */
-public record Job(int requestClass, int tenant, long key, long waitMs, long costHint, boolean clientRetry,
-        HttpMethod method, String uri, HttpHeaders headers, byte[] body) {
+public record Job(
+        int requestClass,
+        int tenant,
+        long key,
+        long waitMs,
+        long costHint,
+        boolean clientRetry,
+        HttpMethod method,
+        String uri,
+        HttpHeaders headers,
+        byte[] body) {
     /** The same request, whose body has come. */
     public Job with(byte[] whole) {
         return new Job(requestClass, tenant, key, waitMs, costHint, clientRetry, method, uri, headers, whole);
@@ -28,7 +37,16 @@
 
     /** The same request, for which there are so many nanoseconds from now. */
     public Job within(long left) {
-        return new Job(requestClass, tenant, key, Math.max(1, left / 1_000_000), costHint, clientRetry,
-                method, uri, headers, body);
+        return new Job(
+                requestClass,
+                tenant,
+                key,
+                Math.max(1, left / 1_000_000),
+                costHint,
+                clientRetry,
+                method,
+                uri,
+                headers,
+                body);
     }
 }
--- a/src/main/java/pondridge/core/JobReader.java
+++ b/src/main/java/pondridge/core/JobReader.java
@@ -11,6 +11,7 @@
 public final class JobReader {
     /** The header of a keyed request's key. */
     public static final String KEY = "Idempotency-Key";
+
     private static final int LONGEST_ID = 128;
     private final List<RequestClass> classes;
     private final List<String> classNames;
@@ -47,15 +48,24 @@
         String key = headers.get(KEY);
         Semantics semantics = classes.get(kind).semantics();
         HttpMethod fitting = semantics == Semantics.REPEATABLE ? HttpMethod.GET : HttpMethod.POST;
-        if (!method.equals(fitting)
-                || (semantics == Semantics.BY_KEY) != (key != null && !key.isEmpty())) {
+        if (!method.equals(fitting) || (semantics == Semantics.BY_KEY) != (key != null && !key.isEmpty())) {
             throw new IllegalArgumentException("method or Idempotency-Key does not fit the class");
         }
         // Nobody waits for longer than the class allows, whatever the header says.
-        long wait = Math.min(number(headers, "Req-Deadline-Ms"), classes.get(kind).deadline() / 1_000_000);
+        long wait =
+                Math.min(number(headers, "Req-Deadline-Ms"), classes.get(kind).deadline() / 1_000_000);
         long cost = headers.contains("Req-Cost") ? number(headers, "Req-Cost") * 1000 : 0;
-        return new Job(kind, tenant, key(path(uri)), wait, cost, "1".equals(headers.get("Req-Retry")), method,
-                uri, headers, new byte[0]);
+        return new Job(
+                kind,
+                tenant,
+                key(path(uri)),
+                wait,
+                cost,
+                "1".equals(headers.get("Req-Retry")),
+                method,
+                uri,
+                headers,
+                new byte[0]);
     }
 
     /** A target's path, without its query. */
--- a/src/main/java/pondridge/core/Json.java
+++ b/src/main/java/pondridge/core/Json.java
@@ -7,5 +7,5 @@
     /** Safe to use on any thread. */
     public static final ObjectMapper MAPPER = new ObjectMapper();
 
-    private Json() { }
+    private Json() {}
 }
--- a/src/main/java/pondridge/core/Listed.java
+++ b/src/main/java/pondridge/core/Listed.java
@@ -15,7 +15,7 @@
     /** Known for so long that it does not matter. */
     private static final long LONG_AGO = Long.MIN_VALUE / 4;
 
-    private record Instance(long startedMs, long since) { }
+    private record Instance(long startedMs, long since) {}
 
     private final Map<Long, String> names = new HashMap<>();
     private final Set<String> ready = new HashSet<>();
@@ -51,7 +51,9 @@
         if (kind == ListKind.FULL) {
             names.clear();
             ready.clear();
-            instances.keySet().retainAll(named.values().stream().map(Target::uid).toList());
+            instances
+                    .keySet()
+                    .retainAll(named.values().stream().map(Target::uid).toList());
         }
         named.forEach((id, target) -> {
             String uid = target.uid();
@@ -78,7 +80,6 @@
         if (listed) {
             return now;
         }
-        return target.startedMs() == 0 ? now + LONG_AGO
-                : now - Math.max(0, wallMs - target.startedMs()) * 1_000_000;
+        return target.startedMs() == 0 ? now + LONG_AGO : now - Math.max(0, wallMs - target.startedMs()) * 1_000_000;
     }
 }
--- a/src/main/java/pondridge/core/LoadReports.java
+++ b/src/main/java/pondridge/core/LoadReports.java
@@ -12,6 +12,7 @@
     public static final float[] NONE = {};
     /** The header that carries one. */
     public static final String HEADER = "Srv-Load";
+
     private static final String LOAD_PATH = "/metrics/load";
     private final List<String> fields;
 
--- a/src/main/java/pondridge/core/StderrRequestLog.java
+++ b/src/main/java/pondridge/core/StderrRequestLog.java
@@ -19,8 +19,8 @@
 
     @Override
     public void taken(long number, Job job) {
-        line("taken #" + number + " id=" + job.headers().get("Req-Id") + " class=" + job.requestClass()
-                + " waitMs=" + job.waitMs());
+        line("taken #" + number + " id=" + job.headers().get("Req-Id") + " class=" + job.requestClass() + " waitMs="
+                + job.waitMs());
     }
 
     @Override
@@ -60,12 +60,13 @@
     }
 
     @Override
-    public void listReceived(boolean watching, long revision, boolean outdated, ListKind kind,
-            List<Target> targets) {
-        String names = targets.stream().limit(MOST_TARGETS)
-                .map(target -> target.uid() + ":" + target.state()).collect(Collectors.joining(","));
-        line("discovery list " + call(watching) + " rev=" + revision + " " + kind
-                + (outdated ? " outdated" : "") + " " + names);
+    public void listReceived(boolean watching, long revision, boolean outdated, ListKind kind, List<Target> targets) {
+        String names = targets.stream()
+                .limit(MOST_TARGETS)
+                .map(target -> target.uid() + ":" + target.state())
+                .collect(Collectors.joining(","));
+        line("discovery list " + call(watching) + " rev=" + revision + " " + kind + (outdated ? " outdated" : "") + " "
+                + names);
     }
 
     private static String call(boolean watching) {
--- a/src/main/java/pondridge/core/Target.java
+++ b/src/main/java/pondridge/core/Target.java
@@ -10,5 +10,12 @@
  * @param endpoint where it listens, as seen from here; null may be for one that is gone
  * @param startedMs when it last started, in Unix milliseconds; 0 for long ago
  */
-public record Target(String uid, InetSocketAddress endpoint, String zone, String kind, int cell, State state,
-        float weight, long startedMs) { }
+public record Target(
+        String uid,
+        InetSocketAddress endpoint,
+        String zone,
+        String kind,
+        int cell,
+        State state,
+        float weight,
+        long startedMs) {}
--- a/src/main/java/pondridge/core/Transport.java
+++ b/src/main/java/pondridge/core/Transport.java
@@ -65,10 +65,10 @@
         /** One that has ended. */
         Attempt ENDED = new Attempt() {
             @Override
-            public void cancel() { }
+            public void cancel() {}
 
             @Override
-            public void withdraw() { }
+            public void withdraw() {}
         };
     }
 
--- a/src/main/java/pondridge/core/Tried.java
+++ b/src/main/java/pondridge/core/Tried.java
@@ -7,4 +7,4 @@
  * @param reached attempts to which an upstream gave an answer of any kind
  * @param mayHaveRun one of them may have run, or may yet: false only where each is proven not to have
  */
-public record Tried(int sent, int reached, boolean mayHaveRun) { }
+public record Tried(int sent, int reached, boolean mayHaveRun) {}
--- a/src/main/java/pondridge/core/Unread.java
+++ b/src/main/java/pondridge/core/Unread.java
@@ -21,7 +21,9 @@
         if (late || !channel.config().isAutoRead()) {
             Unread first = channel.pipeline().get(Unread.class);
             // Danger: read from within its own reading, decoders would meet later bytes before earlier ones.
-            if (first != null && !first.reading && channel.isActive()
+            if (first != null
+                    && !first.reading
+                    && channel.isActive()
                     && channel.unsafe() instanceof AbstractNioChannel.NioUnsafe socket) {
                 socket.read();
             }
--- a/src/main/java/pondridge/demo/Certificates.java
+++ b/src/main/java/pondridge/demo/Certificates.java
@@ -17,8 +17,11 @@
     public Certificates(Path folder) throws IOException {
         this.folder = folder;
         try {
-            this.authority = new CertificateBuilder().ecp256().subject("CN=demo authority")
-                    .setIsCertificateAuthority(true).buildSelfSigned();
+            this.authority = new CertificateBuilder()
+                    .ecp256()
+                    .subject("CN=demo authority")
+                    .setIsCertificateAuthority(true)
+                    .buildSelfSigned();
         } catch (Exception e) {
             throw new IOException("no certificate can be made", e);
         }
@@ -33,8 +36,12 @@
     /** The same, with a certificate that names another site or ends at some time. */
     public String site(String file, String named, Instant until) throws IOException {
         try {
-            X509Bundle made = new CertificateBuilder().ecp256().subject("CN=" + named).addSanDnsName(named)
-                    .notBefore(until.minus(2, ChronoUnit.DAYS)).notAfter(until)
+            X509Bundle made = new CertificateBuilder()
+                    .ecp256()
+                    .subject("CN=" + named)
+                    .addSanDnsName(named)
+                    .notBefore(until.minus(2, ChronoUnit.DAYS))
+                    .notAfter(until)
                     .buildIssuedBy(authority);
             Files.writeString(folder.resolve(file + ".pem"), made.getCertificatePEM());
             Files.writeString(folder.resolve(file + ".key"), made.getPrivateKeyPEM());
@@ -43,7 +50,7 @@
         } catch (Exception e) {
             throw new IOException("no certificate can be made", e);
         }
-        return "certificate = \"" + folder.resolve(file + ".pem") + "\"\nkey = \""
-                + folder.resolve(file + ".key") + "\"\nauthorities = \"" + folder.resolve("ca.pem") + "\"\n";
+        return "certificate = \"" + folder.resolve(file + ".pem") + "\"\nkey = \"" + folder.resolve(file + ".key")
+                + "\"\nauthorities = \"" + folder.resolve("ca.pem") + "\"\n";
     }
 }
--- a/src/main/java/pondridge/demo/Child.java
+++ b/src/main/java/pondridge/demo/Child.java
@@ -62,15 +62,31 @@
      * @param mainClass of the shipped program
      * @param listener told of each line of its log, on a thread of its own
      */
-    public static Child start(String name, String mainClass, List<String> arguments,
-            Map<String, String> environment, Consumer<Line> listener) throws IOException {
+    public static Child start(
+            String name,
+            String mainClass,
+            List<String> arguments,
+            Map<String, String> environment,
+            Consumer<Line> listener)
+            throws IOException {
         Path jar = jar();
         List<String> command = new ArrayList<>(List.of(
                 Path.of(System.getProperty("java.home"), "bin", "java").toString(),
-                "-XX:SharedArchiveFile=" + jar.resolveSibling("pondridge.jsa"), "-Xshare:auto",
-                "-Xlog:cds=off", "-Xlog:cds+dynamic=off", "-XX:+UseSerialGC", "-XX:TieredStopAtLevel=1",
-                "-Xms16m", "-Xmx96m", "-Xss256k", "-XX:-UsePerfData", "-Dio.netty.allocator.type=unpooled",
-                "-Dio.netty.noPreferDirect=true", "-cp", jar.toString(), mainClass));
+                "-XX:SharedArchiveFile=" + jar.resolveSibling("pondridge.jsa"),
+                "-Xshare:auto",
+                "-Xlog:cds=off",
+                "-Xlog:cds+dynamic=off",
+                "-XX:+UseSerialGC",
+                "-XX:TieredStopAtLevel=1",
+                "-Xms16m",
+                "-Xmx96m",
+                "-Xss256k",
+                "-XX:-UsePerfData",
+                "-Dio.netty.allocator.type=unpooled",
+                "-Dio.netty.noPreferDirect=true",
+                "-cp",
+                jar.toString(),
+                mainClass));
         command.addAll(arguments);
         ProcessBuilder builder = new ProcessBuilder(command).redirectErrorStream(true);
         builder.environment().putAll(environment);
@@ -80,7 +96,11 @@
     /** The jar that is shipped: the one that this class came from, or the one that the build has left. */
     private static Path jar() throws IOException {
         try {
-            Path from = Path.of(Child.class.getProtectionDomain().getCodeSource().getLocation().toURI());
+            Path from = Path.of(Child.class
+                    .getProtectionDomain()
+                    .getCodeSource()
+                    .getLocation()
+                    .toURI());
             Path jar = Files.isDirectory(from) ? from.resolveSibling(JAR) : from;
             if (!Files.isRegularFile(jar)) {
                 throw new IOException("processes are started from the packaged jar; there is none at " + jar);
@@ -92,8 +112,8 @@
     }
 
     private void read() {
-        try (BufferedReader reader = new BufferedReader(
-                new InputStreamReader(process.getInputStream(), StandardCharsets.UTF_8))) {
+        try (BufferedReader reader =
+                new BufferedReader(new InputStreamReader(process.getInputStream(), StandardCharsets.UTF_8))) {
             for (String text = reader.readLine(); text != null; text = reader.readLine()) {
                 take(text);
             }
@@ -143,8 +163,9 @@
                     }
                 }
                 if (!process.isAlive() || System.nanoTime() - until > 0) {
-                    throw new IOException(name + (process.isAlive() ? " doesn't say so" : " has ended with "
-                            + process.exitValue()) + "; " + String.join(" | ", words));
+                    throw new IOException(
+                            name + (process.isAlive() ? " doesn't say so" : " has ended with " + process.exitValue())
+                                    + "; " + String.join(" | ", words));
                 }
                 wait(100);
             }
@@ -170,7 +191,10 @@
     /** Kills it outright, whatever it is doing, and waits for its end. */
     public void kill() {
         process.destroyForcibly();
-        process.onExit().orTimeout(LIMIT_S, TimeUnit.SECONDS).exceptionally(late -> null).join();
+        process.onExit()
+                .orTimeout(LIMIT_S, TimeUnit.SECONDS)
+                .exceptionally(late -> null)
+                .join();
     }
 
     /**
@@ -179,9 +203,13 @@
      */
     public void pause(long millis) throws IOException {
         String pid = Long.toString(process.pid());
-        Process stopper = new ProcessBuilder("/bin/sh", "-c",
-                "kill -STOP $0 || exit 1; echo stopped; sleep $1; kill -CONT $0", pid,
-                String.format(Locale.ROOT, "%.3f", millis / 1e3)).start();
+        Process stopper = new ProcessBuilder(
+                        "/bin/sh",
+                        "-c",
+                        "kill -STOP $0 || exit 1; echo stopped; sleep $1; kill -CONT $0",
+                        pid,
+                        String.format(Locale.ROOT, "%.3f", millis / 1e3))
+                .start();
         if (stopper.inputReader().readLine() == null) {
             throw new IOException(name + " can't be stopped: it has ended");
         }
--- a/src/main/java/pondridge/demo/Drill.java
+++ b/src/main/java/pondridge/demo/Drill.java
@@ -45,14 +45,14 @@
     private static final long WARM = 1_000_000_007L;
     /** Figures of cold servers, as the operators give them. */
     private static final long RAMP = 7_400 * MS;
+
     private static final double COLD_SHARE = 0.39;
     private static final double FALL_FACTOR = 4;
     private static final long FALL_WINDOW = 1_500 * MS;
 
     private final DrillPlan plan;
     private final Path folder;
-    private final MultiThreadIoEventLoopGroup agents = new MultiThreadIoEventLoopGroup(1,
-            NioIoHandler.newFactory());
+    private final MultiThreadIoEventLoopGroup agents = new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory());
     private final ConcurrentLinkedQueue<Child.Line> log = new ConcurrentLinkedQueue<>();
     private final Map<String, ProcessGateway> hosts = new HashMap<>();
     private final Map<DrillPlan.Step, Long> done = new LinkedHashMap<>();
@@ -68,10 +68,10 @@
         EventLoop loop = agents.next();
         Options options = options(plan);
         try {
-            this.sites = new Sites(shape(plan), options, plan.seed(), site -> "security = \"plain\"\n",
-                    (name, toml, known, seed) -> {
-                        ProcessGateway made = new ProcessGateway(name, folder, loop, toml, options, known,
-                                seed, log::add);
+            this.sites = new Sites(
+                    shape(plan), options, plan.seed(), site -> "security = \"plain\"\n", (name, toml, known, seed) -> {
+                        ProcessGateway made =
+                                new ProcessGateway(name, folder, loop, toml, options, known, seed, log::add);
                         hosts.put(name, made);
                         return made;
                     });
@@ -82,32 +82,69 @@
     }
 
     private static Sites.Shape shape(DrillPlan plan) {
-        double work = plan.topology().classes().stream().mapToDouble(Kind::work).average().orElse(0);
-        return new Sites.Shape(plan.sites().entrySet().stream().map(each -> new Sites.Place(each.getKey(),
-                each.getValue().servers(), each.getValue().gateways(), each.getValue().threads(),
-                plan.gateway().strip() + '\n' + (plan.told().containsKey(each.getKey())
-                        ? SitePlanSettings.text(plan.told().get(each.getKey())) : ""))).toList(),
-                (long) (work * 1e9), plan.delay(), plan.delay() / 4);
+        double work = plan.topology().classes().stream()
+                .mapToDouble(Kind::work)
+                .average()
+                .orElse(0);
+        return new Sites.Shape(
+                plan.sites().entrySet().stream()
+                        .map(each -> new Sites.Place(
+                                each.getKey(),
+                                each.getValue().servers(),
+                                each.getValue().gateways(),
+                                each.getValue().threads(),
+                                plan.gateway().strip()
+                                        + '\n'
+                                        + (plan.told().containsKey(each.getKey())
+                                                ? SitePlanSettings.text(
+                                                        plan.told().get(each.getKey()))
+                                                : "")))
+                        .toList(),
+                (long) (work * 1e9),
+                plan.delay(),
+                plan.delay() / 4);
     }
 
     private static Options options(DrillPlan plan) {
         List<Kind> kinds = plan.topology().classes();
-        StringBuilder more = new StringBuilder("zones=" + String.join(",", plan.sites().keySet())
-                + "\nprofiles.count=" + kinds.size() + '\n');
+        StringBuilder more = new StringBuilder(
+                "zones=" + String.join(",", plan.sites().keySet()) + "\nprofiles.count=" + kinds.size() + '\n');
         for (Kind kind : kinds) {
             OrderClass order = OrderClass.named(kind.name());
             String path = "profiles." + kinds.indexOf(kind) + '.';
-            more.append(path).append("name=").append(kind.name()).append('\n')
-                    .append(path).append("slo=").append((long) (kind.aim() * 1e9)).append('\n')
-                    .append(path).append("deadline=").append(plan.patience()).append('\n')
-                    .append(path).append("worth=").append(kind.worth()).append('\n')
-                    .append(path).append("semantics=").append(switch (order.effect()) {
-                        case SAFE -> "repeatable";
-                        case KEYED -> "by_key";
-                        case UNSAFE -> "once";
-                    }).append('\n')
-                    .append(path).append("keyScope=").append(order.perZone() ? "zone" : "all").append('\n')
-                    .append(path).append("keyTtl=").append(order.memory()).append('\n');
+            more.append(path)
+                    .append("name=")
+                    .append(kind.name())
+                    .append('\n')
+                    .append(path)
+                    .append("slo=")
+                    .append((long) (kind.aim() * 1e9))
+                    .append('\n')
+                    .append(path)
+                    .append("deadline=")
+                    .append(plan.patience())
+                    .append('\n')
+                    .append(path)
+                    .append("worth=")
+                    .append(kind.worth())
+                    .append('\n')
+                    .append(path)
+                    .append("semantics=")
+                    .append(
+                            switch (order.effect()) {
+                                case SAFE -> "repeatable";
+                                case KEYED -> "by_key";
+                                case UNSAFE -> "once";
+                            })
+                    .append('\n')
+                    .append(path)
+                    .append("keyScope=")
+                    .append(order.perZone() ? "zone" : "all")
+                    .append('\n')
+                    .append(path)
+                    .append("keyTtl=")
+                    .append(order.memory())
+                    .append('\n');
         }
         return Usual.options(plan.patience() / MS, more.toString());
     }
@@ -141,8 +178,7 @@
         List<CompletableFuture<Void>> loads = new ArrayList<>(loads(plan.seed(), plan.length() / 1e9));
         for (DrillPlan.Step step : plan.steps()) {
             until(began + step.at());
-            progress.accept(String.format(Locale.ROOT, "%6.1f s  %s",
-                    (System.nanoTime() - began) / 1e9, step));
+            progress.accept(String.format(Locale.ROOT, "%6.1f s  %s", (System.nanoTime() - began) / 1e9, step));
             done.put(step, System.nanoTime() - began);
             act(step, loads);
         }
@@ -180,8 +216,10 @@
     }
 
     private int runs() {
-        return plan.sites().keySet().stream().flatMap(name -> sites.site(name).servers().stream())
-                .mapToInt(StandinServer::runs).sum();
+        return plan.sites().keySet().stream()
+                .flatMap(name -> sites.site(name).servers().stream())
+                .mapToInt(StandinServer::runs)
+                .sum();
     }
 
     private void act(DrillPlan.Step step, List<CompletableFuture<Void>> loads) throws IOException {
@@ -216,27 +254,33 @@
                     link.set(FaultyLink.Condition.delayed(plan.delay(), plan.delay() / 4));
                 }
             });
-            case STALL_LINK -> between(step).forEach(link -> link.set(
-                    FaultyLink.Condition.delayed(plan.delay(), plan.delay() / 4).stalled(true)));
+            case STALL_LINK -> between(step)
+                    .forEach(link -> link.set(FaultyLink.Condition.delayed(plan.delay(), plan.delay() / 4)
+                            .stalled(true)));
             case ONE_WAY -> others(step).forEach(other -> {
-                FaultyLink.Condition lost = FaultyLink.Condition.delayed(plan.delay(), 0).lost(true);
-                sites.site(other).linksFrom(step.site())
-                        .forEach(link -> link.set(FaultyLink.Way.THERE, lost));
+                FaultyLink.Condition lost =
+                        FaultyLink.Condition.delayed(plan.delay(), 0).lost(true);
+                sites.site(other).linksFrom(step.site()).forEach(link -> link.set(FaultyLink.Way.THERE, lost));
                 site.linksFrom(other).forEach(link -> link.set(FaultyLink.Way.BACK, lost));
             });
-            case SLOW -> site.servers().subList(0, (int) Math.ceil(step.part() * site.servers().size()))
+            case SLOW -> site.servers()
+                    .subList(0, (int) Math.ceil(step.part() * site.servers().size()))
                     .forEach(server -> server.faults(Map.of(Fault.SLOW, 1.0)));
             case WELL -> site.servers().forEach(server -> server.faults(null));
-            case SURGE -> plan.topology().sites().stream().filter(each -> each.name().equals(step.site()))
-                    .forEach(each -> loads.add(sites.persistent(step.site(), plan.seed() + loads.size(),
-                            plan.retries()).start(load(each, step.length() / 1e9, step.part() - 1))));
+            case SURGE -> plan.topology().sites().stream()
+                    .filter(each -> each.name().equals(step.site()))
+                    .forEach(each -> loads.add(sites.persistent(step.site(), plan.seed() + loads.size(), plan.retries())
+                            .start(load(each, step.length() / 1e9, step.part() - 1))));
             default -> throw new IllegalStateException(step.toString());
         }
     }
 
     private List<Integer> numbers(DrillPlan.Step step) {
-        return step.gateway() >= 0 ? List.of(step.gateway())
-                : Stream.iterate(0, i -> i + 1).limit(plan.sites().get(step.site()).gateways()).toList();
+        return step.gateway() >= 0
+                ? List.of(step.gateway())
+                : Stream.iterate(0, i -> i + 1)
+                        .limit(plan.sites().get(step.site()).gateways())
+                        .toList();
     }
 
     private void each(DrillPlan.Step step, Consumer<Integer> act) {
@@ -251,19 +295,25 @@
 
     /** The first of its servers are started anew, and the list says so. */
     private void cold(Sites.Site site, double part) {
-        double perSecond = plan.sites().get(site.name()).threads() / plan.topology().classes().stream()
-                .mapToDouble(Kind::work).average().orElse(1);
-        List<StandinServer> started = site.servers().subList(0,
-                (int) Math.ceil(part * site.servers().size()));
-        started.forEach(server -> server.cold(new ColdStart(System.nanoTime(), RAMP, COLD_SHARE, perSecond,
-                FALL_FACTOR, FALL_WINDOW)));
+        double perSecond = plan.sites().get(site.name()).threads()
+                / plan.topology().classes().stream()
+                        .mapToDouble(Kind::work)
+                        .average()
+                        .orElse(1);
+        List<StandinServer> started =
+                site.servers().subList(0, (int) Math.ceil(part * site.servers().size()));
+        started.forEach(server ->
+                server.cold(new ColdStart(System.nanoTime(), RAMP, COLD_SHARE, perSecond, FALL_FACTOR, FALL_WINDOW)));
         site.startedAnew(started.size(), System.currentTimeMillis());
         site.cut(false, started.size());
     }
 
     private List<String> others(DrillPlan.Step step) {
-        return step.other().isEmpty() ? plan.sites().keySet().stream()
-                .filter(each -> !each.equals(step.site())).toList() : List.of(step.other());
+        return step.other().isEmpty()
+                ? plan.sites().keySet().stream()
+                        .filter(each -> !each.equals(step.site()))
+                        .toList()
+                : List.of(step.other());
     }
 
     private List<FaultyLink> between(DrillPlan.Step step) {
--- a/src/main/java/pondridge/demo/DrillPlan.java
+++ b/src/main/java/pondridge/demo/DrillPlan.java
@@ -31,33 +31,49 @@
  * @param sites how each is built, by its name
  * @param steps in the order of their times
  */
-public record DrillPlan(long seed, long length, long warmUp, long patience, int retries, long delay,
-        Topology topology, Map<String, Topology> told, String gateway, Map<String, Built> sites,
+public record DrillPlan(
+        long seed,
+        long length,
+        long warmUp,
+        long patience,
+        int retries,
+        long delay,
+        Topology topology,
+        Map<String, Topology> told,
+        String gateway,
+        Map<String, Built> sites,
         List<Step> steps) {
     private static final int MOST_BASES = 4;
     private static final List<String> SITE_PLAN = List.of("yes", "no");
 
     /** A site: its servers with their threads, and its gateways. */
-    public record Built(int servers, int threads, int gateways) { }
+    public record Built(int servers, int threads, int gateways) {}
 
     /** What a step does. */
     public enum Act {
         /** The site's servers can't be reached, or can again as they were. */
-        CUT, HEAL,
+        CUT,
+        HEAL,
         /** The wires to its servers are open and silent, or flow again. */
-        STALL, FLOW,
+        STALL,
+        FLOW,
         /** All of it is killed, servers and gateways; or starts again from nothing, its servers cold. */
-        LOSE, RETURN,
+        LOSE,
+        RETURN,
         /** One of its gateways, or all, are killed; or start again. */
-        KILL, START,
+        KILL,
+        START,
         /** One of its gateways, or all, stand still for so long. */
         STOP,
         /** No link between it and another site, or any other, works: resets at once, or silence; or again. */
-        CUT_LINK, STALL_LINK, HEAL_LINK,
+        CUT_LINK,
+        STALL_LINK,
+        HEAL_LINK,
         /** Only what goes from it to another site is lost. */
         ONE_WAY,
         /** A part of its servers is nine times slower, or all are well again. */
-        SLOW, WELL,
+        SLOW,
+        WELL,
         /** A part of its servers, or all, can be reached again, but has been started anew and is cold. */
         COLD,
         /** Its clients ask so many times as much for so long. */
@@ -79,11 +95,14 @@
      * @param gateway by its number; -1 for all
      * @param part of the servers, or how many times as much
      */
-    public record Step(String name, long at, Act act, String site, String other, int gateway, double part,
-            long length) {
+    public record Step(
+            String name, long at, Act act, String site, String other, int gateway, double part, long length) {
         @Override
         public String toString() {
-            return act.word() + ' ' + site + (other.isEmpty() ? "" : " and " + other)
+            return act.word()
+                    + ' '
+                    + site
+                    + (other.isEmpty() ? "" : " and " + other)
                     + (gateway < 0 ? "" : ", gateway " + gateway)
                     + (length == 0 ? "" : String.format(Locale.ROOT, " for %.1f s", length / 1e9));
         }
@@ -105,11 +124,19 @@
         Section drill = file.section("drill");
         drill.text("base", "-");
         Topology topology = SitePlanSettings.of(file);
-        topology.classes().stream().map(Topology.Kind::name).filter(name -> OrderClass.USUAL.stream()
-                .noneMatch(each -> each.name().equals(name))).findFirst().ifPresent(name -> {
-            throw drill.contradiction("site_plan", "the stand-in servers know no class " + name + ", only "
-                    + OrderClass.USUAL.stream().map(OrderClass::name).collect(Collectors.joining(", ")));
-        });
+        topology.classes().stream()
+                .map(Topology.Kind::name)
+                .filter(name ->
+                        OrderClass.USUAL.stream().noneMatch(each -> each.name().equals(name)))
+                .findFirst()
+                .ifPresent(name -> {
+                    throw drill.contradiction(
+                            "site_plan",
+                            "the stand-in servers know no class " + name + ", only "
+                                    + OrderClass.USUAL.stream()
+                                            .map(OrderClass::name)
+                                            .collect(Collectors.joining(", ")));
+                });
         List<String> names = topology.sites().stream().map(Topology.Site::name).toList();
         boolean plan = drill.word("site_plan", "yes", SITE_PLAN).equals("yes");
         Map<String, Built> sites = new LinkedHashMap<>();
@@ -117,22 +144,40 @@
         Section built = file.section("sites");
         for (String name : names) {
             Section site = built.section(name);
-            sites.put(name, new Built(site.number("servers", 4, 1, 64), site.number("threads", 2, 1, 64),
-                    site.number("gateways", 2, 1, 16)));
+            sites.put(
+                    name,
+                    new Built(
+                            site.number("servers", 4, 1, 64),
+                            site.number("threads", 2, 1, 64),
+                            site.number("gateways", 2, 1, 16)));
             double wrong = site.fraction("told_capacity", 1, 0.1, 10);
             if (plan) {
-                told.put(name, new Topology(topology.sites().stream().map(each -> new Topology.Site(
-                        each.name(), each.capacity() * wrong, each.asked())).toList(), topology.classes(),
-                        topology.ways(), topology.reserve()));
+                told.put(
+                        name,
+                        new Topology(
+                                topology.sites().stream()
+                                        .map(each ->
+                                                new Topology.Site(each.name(), each.capacity() * wrong, each.asked()))
+                                        .toList(),
+                                topology.classes(),
+                                topology.ways(),
+                                topology.reserve()));
             }
         }
         List<Step> steps = new ArrayList<>();
         file.section("steps").sections().forEach((name, section) -> steps.add(step(name, section, sites)));
         steps.sort(Comparator.comparingLong(Step::at));
-        return new DrillPlan(drill.number("seed", 1, 0, Integer.MAX_VALUE),
-                drill.time("length", "20s", "1s", "60min"), drill.time("warm_up", "3s", "0ms", "60s"),
-                drill.time("wait", "2s", "50ms", "60s"), drill.number("retries", 1, 0, 10),
-                drill.time("delay", "1ms", "0ms", "1s"), topology, told, drill.text("gateway", " "), sites,
+        return new DrillPlan(
+                drill.number("seed", 1, 0, Integer.MAX_VALUE),
+                drill.time("length", "20s", "1s", "60min"),
+                drill.time("warm_up", "3s", "0ms", "60s"),
+                drill.time("wait", "2s", "50ms", "60s"),
+                drill.number("retries", 1, 0, 10),
+                drill.time("delay", "1ms", "0ms", "1s"),
+                topology,
+                told,
+                drill.text("gateway", " "),
+                sites,
                 steps);
     }
 
@@ -156,7 +201,8 @@
 
     private static Step step(String name, Section section, Map<String, Built> sites) {
         List<String> names = List.copyOf(sites.keySet());
-        Act act = Act.named(required(section, "do", Arrays.stream(Act.values()).map(Act::word).toList()));
+        Act act = Act.named(required(
+                section, "do", Arrays.stream(Act.values()).map(Act::word).toList()));
         String site = required(section, "site", names);
         String other = section.word("other", "", names);
         int gateway = section.number("gateway", -1, -1, sites.get(site).gateways - 1);
@@ -167,7 +213,14 @@
         if (site.equals(other)) {
             throw section.contradiction("other", "a link from a site to itself");
         }
-        return new Step(name, section.time("at", "-", "0ms", "60min"), act, site, other, gateway,
-                section.fraction("part", act == Act.SURGE ? 2 : act == Act.COLD ? 1 : 0.25, 0, 100), length);
+        return new Step(
+                name,
+                section.time("at", "-", "0ms", "60min"),
+                act,
+                site,
+                other,
+                gateway,
+                section.fraction("part", act == Act.SURGE ? 2 : act == Act.COLD ? 1 : 0.25, 0, 100),
+                length);
     }
 }
--- a/src/main/java/pondridge/demo/LoopGateway.java
+++ b/src/main/java/pondridge/demo/LoopGateway.java
@@ -36,15 +36,20 @@
         this.group = new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory());
         this.loop = group.next();
         try {
-            gateway = loop.submit(() -> new Gateway(loop, options, settings,
-                    new Upstreams(loop, options, MOST), seed, MOST, clock)).get();
-            doors = loop.submit(() -> gateway.start(new Directory() {
-                @Override
-                public void watch(boolean on) { }
+            gateway = loop.submit(() ->
+                            new Gateway(loop, options, settings, new Upstreams(loop, options, MOST), seed, MOST, clock))
+                    .get();
+            doors = loop.submit(() -> gateway.start(
+                            new Directory() {
+                                @Override
+                                public void watch(boolean on) {}
 
-                @Override
-                public void fetch() { }
-            }, known, new InetSocketAddress(InetAddress.getLoopbackAddress(), 0))).get()
+                                @Override
+                                public void fetch() {}
+                            },
+                            known,
+                            new InetSocketAddress(InetAddress.getLoopbackAddress(), 0)))
+                    .get()
                     .get(LIMIT_S, TimeUnit.SECONDS);
         } catch (ExecutionException | TimeoutException | InterruptedException e) {
             group.shutdownGracefully(0, 0, TimeUnit.SECONDS);
--- a/src/main/java/pondridge/demo/ProcessGateway.java
+++ b/src/main/java/pondridge/demo/ProcessGateway.java
@@ -41,11 +41,22 @@
      * @param toml its settings but for the platform's file, which is named {@code name.json}
      * @param listener told of each line of its log
      */
-    ProcessGateway(String name, Path folder, EventLoop loop, String toml, Options options, List<Target> known,
-            long seed, Consumer<Child.Line> listener) throws IOException {
-        this.agent = new DiscoveryStandin(loop, new InetSocketAddress(InetAddress.getLoopbackAddress(), 0),
-                entries(known));
-        ObjectNode platform = Json.MAPPER.createObjectNode().put("name", name).put("listen", "127.0.0.1:0")
+    ProcessGateway(
+            String name,
+            Path folder,
+            EventLoop loop,
+            String toml,
+            Options options,
+            List<Target> known,
+            long seed,
+            Consumer<Child.Line> listener)
+            throws IOException {
+        this.agent =
+                new DiscoveryStandin(loop, new InetSocketAddress(InetAddress.getLoopbackAddress(), 0), entries(known));
+        ObjectNode platform = Json.MAPPER
+                .createObjectNode()
+                .put("name", name)
+                .put("listen", "127.0.0.1:0")
                 .put("discovery", "127.0.0.1:" + agent.address().getPort())
                 .put("seed", Long.toHexString(seed));
         StringJoiner lines = new StringJoiner(",", "{\"rev\":1,\"all\":true,\"targets\":[", "]}");
@@ -56,10 +67,16 @@
         options.with("discovery=subscribe").lines().forEach(settings::put);
         Files.writeString(folder.resolve(name + ".json"), platform.toString());
         Path file = Files.writeString(folder.resolve(name + ".toml"), toml);
-        this.child = Child.start(name, "pondridge.cli.Bankflow",
-                List.of("gateway", "--with-parent", "--config", file.toString()), Map.of(), listener);
-        Matcher told = DOORS.matcher(child.await(line -> line.event().equals("started")).json()
-                .path("detail").asText());
+        this.child = Child.start(
+                name,
+                "pondridge.cli.Bankflow",
+                List.of("gateway", "--with-parent", "--config", file.toString()),
+                Map.of(),
+                listener);
+        Matcher told = DOORS.matcher(child.await(line -> line.event().equals("started"))
+                .json()
+                .path("detail")
+                .asText());
         if (!told.find()) {
             child.kill();
             throw new IOException(name + " doesn't say where it listens");
@@ -72,10 +89,16 @@
     }
 
     private static List<DiscoveryStandin.Entry> entries(List<Target> targets) {
-        return targets.stream().map(each -> new DiscoveryStandin.Entry(each.uid(), each.endpoint(),
-                each.zone(), each.state() == State.READY ? "SERVING"
-                        : each.state() == State.DRAINING ? "DRAINING" : "DELETED",
-                each.startedMs())).toList();
+        return targets.stream()
+                .map(each -> new DiscoveryStandin.Entry(
+                        each.uid(),
+                        each.endpoint(),
+                        each.zone(),
+                        each.state() == State.READY
+                                ? "SERVING"
+                                : each.state() == State.DRAINING ? "DRAINING" : "DELETED",
+                        each.startedMs()))
+                .toList();
     }
 
     Child child() {
--- a/src/main/java/pondridge/demo/Sites.java
+++ b/src/main/java/pondridge/demo/Sites.java
@@ -43,7 +43,7 @@
      * @param threads of each server, with a queue of eight times as many; 0 for any number at a time
      * @param settings TOML lines for its gateways, without sections of sites
      */
-    public record Place(String name, int servers, int gateways, int threads, String settings) { }
+    public record Place(String name, int servers, int gateways, int threads, String settings) {}
 
     /**
      * What is built.
@@ -54,10 +54,15 @@
      */
     public record Shape(List<Place> places, long work, long delay, long jitter) {
         /** Sites that are all alike. */
-        public Shape(List<String> names, int servers, int gateways, long work, long delay, long jitter,
-                String settings) {
-            this(names.stream().map(name -> new Place(name, servers, gateways, 0, settings)).toList(), work,
-                    delay, jitter);
+        public Shape(
+                List<String> names, int servers, int gateways, long work, long delay, long jitter, String settings) {
+            this(
+                    names.stream()
+                            .map(name -> new Place(name, servers, gateways, 0, settings))
+                            .toList(),
+                    work,
+                    delay,
+                    jitter);
         }
     }
 
@@ -150,8 +155,10 @@
 
         /** Tells the gateways that the first servers have just started, at this Unix time in milliseconds. */
         void startedAnew(int first, long toldMs) {
-            tell(targets(State.READY).stream().limit(first).map(each -> new Target(each.uid(),
-                    each.endpoint(), name, "m", 0, State.READY, 1, toldMs)).toList());
+            tell(targets(State.READY).stream()
+                    .limit(first)
+                    .map(each -> new Target(each.uid(), each.endpoint(), name, "m", 0, State.READY, 1, toldMs))
+                    .toList());
         }
 
         private void tell(List<Target> targets) {
@@ -161,8 +168,7 @@
         private List<Target> targets(State state) {
             List<Target> targets = new ArrayList<>();
             for (int i = 0; i < servers.size(); i++) {
-                targets.add(new Target(servers.get(i).name(), wires.get(i).address(), name, "m", 0, state,
-                        1, 0));
+                targets.add(new Target(servers.get(i).name(), wires.get(i).address(), name, "m", 0, state, 1, 0));
             }
             return targets;
         }
@@ -216,14 +222,18 @@
      * @param seed of jitter, work and the gateways' choices
      * @param security a site's lines under {@code [link]}
      */
-    public Sites(Shape shape, Options options, long seed, Function<String, String> security)
-            throws IOException {
+    public Sites(Shape shape, Options options, long seed, Function<String, String> security) throws IOException {
         this(shape, options, seed, security, site -> System::nanoTime);
     }
 
     /** The same; {@code clocks} gives the clock of a site's gateways. */
-    public Sites(Shape shape, Options options, long seed, Function<String, String> security,
-            Function<String, LongSupplier> clocks) throws IOException {
+    public Sites(
+            Shape shape,
+            Options options,
+            long seed,
+            Function<String, String> security,
+            Function<String, LongSupplier> clocks)
+            throws IOException {
         this(shape, options, seed, security, (name, toml, known, itsSeed) -> {
             SettingsFile file = SettingsFile.parse(name, toml);
             GatewaySettings settings = GatewaySettings.of(file, Path.of("."));
@@ -261,9 +271,16 @@
 
     private void build(Site site) {
         for (int i = 0; i < site.place.servers; i++) {
-            StandinServer server = new StandinServer(serving, local(), StandinServer.Setup.of(
-                    site.name + "-s" + i, site.name, StandinServer.Protocol.HTTP1,
-                    new FaultScript(seed + i, Map.of(), shape.work, 9 * shape.work), ledger, memory));
+            StandinServer server = new StandinServer(
+                    serving,
+                    local(),
+                    StandinServer.Setup.of(
+                            site.name + "-s" + i,
+                            site.name,
+                            StandinServer.Protocol.HTTP1,
+                            new FaultScript(seed + i, Map.of(), shape.work, 9 * shape.work),
+                            ledger,
+                            memory));
             if (site.place.threads > 0) {
                 server.threads(site.place.threads, 8 * site.place.threads);
             }
@@ -292,12 +309,14 @@
             if (other != site) {
                 text.append("\n[sites.").append(other.name).append("]\ngateways = [");
                 other.linksFrom(site.name).forEach(link -> text.append("\"127.0.0.1:")
-                        .append(link.address().getPort()).append("\","));
+                        .append(link.address().getPort())
+                        .append("\","));
                 text.append("]\n");
             }
         }
         GatewayHost made = hosting.start(name, text.toString(), site.targets(State.READY), seed + number);
-        site.links.values().forEach(links -> links.get(number).target(made.doors().sites()));
+        site.links.values().forEach(links -> links.get(number)
+                .target(made.doors().sites()));
         if (number < site.gateways.size()) {
             site.gateways.set(number, made);
             site.doors.set(number, made.doors().clients());
--- a/src/main/java/pondridge/demo/Usual.java
+++ b/src/main/java/pondridge/demo/Usual.java
@@ -6,7 +6,7 @@
 public final class Usual {
     private static final long MS = 1_000_000;
 
-    private Usual() { }
+    private Usual() {}
 
     /**
      * Settings with the usual classes and zones.
@@ -16,7 +16,8 @@
      */
     public static Options options(long deadlineMs, String... more) {
         long deadline = deadlineMs * MS;
-        StringBuilder text = new StringBuilder("""
+        StringBuilder text = new StringBuilder(
+                """
                 discovery=automatic
                 quantum=1000000
                 rank=0
@@ -58,7 +59,11 @@
                 """);
         for (int i = 0; i < 4; i++) {
             text.append("profiles.").append(i).append(".slo=").append(deadline).append('\n');
-            text.append("profiles.").append(i).append(".deadline=").append(deadline).append('\n');
+            text.append("profiles.")
+                    .append(i)
+                    .append(".deadline=")
+                    .append(deadline)
+                    .append('\n');
         }
         for (String line : more) {
             text.append(line).append('\n');
--- a/src/main/java/pondridge/gateway/AnswerMemory.java
+++ b/src/main/java/pondridge/gateway/AnswerMemory.java
@@ -45,7 +45,7 @@
         }
     }
 
-    private record Ageing(String key, long until) { }
+    private record Ageing(String key, long until) {}
 
     private final int most;
     private final long mostBytes;
@@ -53,6 +53,7 @@
     private final Map<String, Entry<C, A>> entries = new LinkedHashMap<>();
     /** Answered ones, by how long they are kept, each line in the order it ends. */
     private final Map<Long, ArrayDeque<Ageing>> answered = new HashMap<>();
+
     private long bytes;
 
     /**
--- a/src/main/java/pondridge/gateway/CrossingBudget.java
+++ b/src/main/java/pondridge/gateway/CrossingBudget.java
@@ -20,7 +20,7 @@
      * @param burst how many may at once
      * @param share the part of all that came that may
      */
-    record Rate(double perSecond, double burst, double share) { }
+    record Rate(double perSecond, double burst, double share) {}
 
     /**
      * A class's part.
@@ -28,7 +28,7 @@
      * @param own its own bound, null for none but the common one
      * @param kept the part of the common burst that it leaves behind for others, from 0 to 1
      */
-    record Part(Rate own, double kept) { }
+    record Part(Rate own, double kept) {}
 
     private static final class Bucket {
         private final Rate rate;
--- a/src/main/java/pondridge/gateway/CrossingHeaders.java
+++ b/src/main/java/pondridge/gateway/CrossingHeaders.java
@@ -15,8 +15,9 @@
     CrossingHeaders(HttpHeaders from, String site, long until) {
         this.until = until;
         add(from);
-        names().stream().filter(name -> name.regionMatches(true, 0, LinkHeaders.PREFIX, 0,
-                LinkHeaders.PREFIX.length())).forEach(this::remove);
+        names().stream()
+                .filter(name -> name.regionMatches(true, 0, LinkHeaders.PREFIX, 0, LinkHeaders.PREFIX.length()))
+                .forEach(this::remove);
         set(LinkHeaders.VERSION, LinkHeaders.SPOKEN);
         set(LinkHeaders.SITE, site);
         set(LinkHeaders.HOPS, "1");
--- a/src/main/java/pondridge/gateway/Dispatcher.java
+++ b/src/main/java/pondridge/gateway/Dispatcher.java
@@ -48,11 +48,20 @@
     private final Log log;
     private final Pressure pressure = new Pressure();
     private OwnSite.State told = OwnSite.State.IN;
-    private Runnable pressed = () -> { };
+    private Runnable pressed = () -> {};
     private long lastId;
 
-    Dispatcher(EventLoop loop, String site, Router router, OwnSite ownSite, Engine own,
-            Map<String, FarSite> others, JobReader reader, long freshness, Log log, LongSupplier clock) {
+    Dispatcher(
+            EventLoop loop,
+            String site,
+            Router router,
+            OwnSite ownSite,
+            Engine own,
+            Map<String, FarSite> others,
+            JobReader reader,
+            long freshness,
+            Log log,
+            LongSupplier clock) {
         this.log = log;
         this.loop = loop;
         this.site = site;
@@ -75,16 +84,20 @@
         OwnSite.State now = ownSite.state();
         if (now != told) {
             told = now;
-            log.warn("own_site", "", switch (now) {
-                case CUT -> "cut, " + ownSite.why();
-                case RETURNING -> "returning, " + ownSite.why();
-                case IN -> "in, it has all its requests again";
-            });
+            log.warn(
+                    "own_site",
+                    "",
+                    switch (now) {
+                        case CUT -> "cut, " + ownSite.why();
+                        case RETURNING -> "returning, " + ownSite.why();
+                        case IN -> "in, it has all its requests again";
+                    });
         }
     }
 
     private void ownEnded(Journey journey, boolean served) {
-        if (!journey.trail.byLink() && ownSite.state() == OwnSite.State.IN
+        if (!journey.trail.byLink()
+                && ownSite.state() == OwnSite.State.IN
                 && pressure.ended(served && clock.getAsLong() - journey.began <= journey.kind.aim())) {
             pressed.run();
         }
@@ -181,19 +194,21 @@
                 counts.crossed++;
                 trail.sent(way.site(), now);
                 across = true;
-                long told = way.window() == Long.MAX_VALUE ? way.left()
-                        : Math.min(way.left(), way.window() - freshness);
+                long told =
+                        way.window() == Long.MAX_VALUE ? way.left() : Math.min(way.left(), way.window() - freshness);
                 CrossingHeaders headers = new CrossingHeaders(job.headers(), site, now + told);
                 long trip = deadline - now - way.left();
-                go(others.get(way.site()).engine(),
-                        job.with(headers).within(Math.min(deadline - now, told + trip)));
+                go(others.get(way.site()).engine(), job.with(headers).within(Math.min(deadline - now, told + trip)));
             } else if (step instanceof Router.Wait wait) {
                 at = null;
-                loop.schedule(() -> {
-                    if (!over) {
-                        next();
-                    }
-                }, wait.delay(), TimeUnit.NANOSECONDS);
+                loop.schedule(
+                        () -> {
+                            if (!over) {
+                                next();
+                            }
+                        },
+                        wait.delay(),
+                        TimeUnit.NANOSECONDS);
             } else {
                 end(step instanceof Router.Refuse);
             }
