--- a/src/main/java/pondridge/gateway/FarSite.java
+++ b/src/main/java/pondridge/gateway/FarSite.java
@@ -33,6 +33,7 @@
 final class FarSite {
     /** Beats in a row that may stay unanswered before a gateway is taken for gone, however long its link. */
     private static final int MOST_MISSED = 3;
+
     private static final long LONGEST_BEAT = 2_000_000_000;
 
     /**
@@ -40,7 +41,7 @@
      *
      * @param says in the form of {@link Views#said}
      */
-    record Own(String site, Supplier<String> says, Consumer<Views.Counts> others) { }
+    record Own(String site, Supplier<String> says, Consumer<Views.Counts> others) {}
 
     private final class Gateway {
         private final String name;
@@ -69,8 +70,9 @@
         /** A gateway stands for many servers: the module has several entries for it. */
         private List<Target> targets() {
             State state = ready ? State.READY : State.DRAINING;
-            return IntStream.range(0, link.lanes()).mapToObj(lane ->
-                    new Target(name + '/' + lane, address, site, "gateway", 0, state, 1, 0)).toList();
+            return IntStream.range(0, link.lanes())
+                    .mapToObj(lane -> new Target(name + '/' + lane, address, site, "gateway", 0, state, 1, 0))
+                    .toList();
         }
     }
 
@@ -92,9 +94,18 @@
      * @param options of its decision module, see {@link #options}
      * @param mostOpen requests that may be across at a time
      */
-    FarSite(EventLoop loop, Own own, String site, List<InetSocketAddress> addresses,
-            GatewaySettings.Link link, Options options, Http2Upstreams way, long seed, int mostOpen,
-            Log log, LongSupplier clock) {
+    FarSite(
+            EventLoop loop,
+            Own own,
+            String site,
+            List<InetSocketAddress> addresses,
+            GatewaySettings.Link link,
+            Options options,
+            Http2Upstreams way,
+            long seed,
+            int mostOpen,
+            Log log,
+            LongSupplier clock) {
         this.loop = loop;
         this.own = own;
         this.site = site;
@@ -121,13 +132,15 @@
             engine.retire();
         }
         engine = engines.get();
-        engine.start(new Directory() {
-            @Override
-            public void watch(boolean on) { }
+        engine.start(
+                new Directory() {
+                    @Override
+                    public void watch(boolean on) {}
 
-            @Override
-            public void fetch() { }
-        }, gateways.stream().flatMap(each -> each.targets().stream()).toList());
+                    @Override
+                    public void fetch() {}
+                },
+                gateways.stream().flatMap(each -> each.targets().stream()).toList());
     }
 
     private void numbered(InetSocketAddress address, long id) {
@@ -143,7 +156,10 @@
         int classes = platform.settings().classes().size();
         for (int i = 0; i < classes; i++) {
             long window = platform.settings().classes().get(i).keyTtl();
-            more.append("profiles.").append(i).append(".keyTtl=").append(Math.max(0, window - freshness))
+            more.append("profiles.")
+                    .append(i)
+                    .append(".keyTtl=")
+                    .append(Math.max(0, window - freshness))
                     .append('\n');
         }
         return platform.with(more.toString());
@@ -190,8 +206,10 @@
     private void beat(Gateway gateway, long now) {
         gateway.beating = true;
         gateway.times.owed(true, now);
-        HttpHeaders headers = new DefaultHttpHeaders().set("Host", site)
-                .set(LinkHeaders.VERSION, LinkHeaders.SPOKEN).set(LinkHeaders.SITE, own.site)
+        HttpHeaders headers = new DefaultHttpHeaders()
+                .set("Host", site)
+                .set(LinkHeaders.VERSION, LinkHeaders.SPOKEN)
+                .set(LinkHeaders.SITE, own.site)
                 .set(LinkHeaders.VIEW, own.says.get());
         Job job = new Job(0, 0, 0, 0, 0, false, HttpMethod.GET, LinkHeaders.BEAT, headers, new byte[0]);
         long wait = Math.min(LONGEST_BEAT, 8 * Math.max(link.stall(), gateway.times.estimate()));
@@ -212,8 +230,9 @@
     private boolean heard(Gateway gateway, Answer answer) {
         String stamp = answer.headers().get(LinkHeaders.STAMP);
         Integer credit = answer.headers().getInt(LinkHeaders.CREDIT);
-        if (stamp == null || credit == null || !LinkHeaders.SPOKEN.equals(answer.headers().get(
-                LinkHeaders.VERSION))) {
+        if (stamp == null
+                || credit == null
+                || !LinkHeaders.SPOKEN.equals(answer.headers().get(LinkHeaders.VERSION))) {
             // An older version, or something else: without a stamp nothing may cross.
             log.warn("link_version", gateway.name, "beats bring no stamp or credit: nothing crosses there");
             return false;
@@ -232,8 +251,7 @@
             boolean first = ready && gatewaysUp() == 0;
             gateway.ready = ready;
             if (ready) {
-                log.info("link_up", gateway.name, "round trip "
-                        + gateway.times.estimate() / 1_000_000 + " ms");
+                log.info("link_up", gateway.name, "round trip " + gateway.times.estimate() / 1_000_000 + " ms");
             } else {
                 log.warn("link_down", gateway.name, gateway.missed == 0 ? "stalled" : "no beat comes back");
             }
--- a/src/main/java/pondridge/gateway/Gateway.java
+++ b/src/main/java/pondridge/gateway/Gateway.java
@@ -74,8 +74,15 @@
      *     but in stamps that only itself reads
      * @throws IOException if a certificate can't be used
      */
-    public Gateway(EventLoop loop, Options options, GatewaySettings settings, Transport upstreams, long seed,
-            int mostOpen, LongSupplier clock) throws IOException {
+    public Gateway(
+            EventLoop loop,
+            Options options,
+            GatewaySettings settings,
+            Transport upstreams,
+            long seed,
+            int mostOpen,
+            LongSupplier clock)
+            throws IOException {
         this.loop = loop;
         this.clock = clock;
         this.log = new Log(settings.site());
@@ -86,16 +93,19 @@
         this.look = link.look();
         this.own = new Engine(loop, options, seed, mostOpen, upstreams);
         this.ownSite = new OwnSite(crossing.own(), now);
-        CrossingBudget budget = new CrossingBudget(crossing.common(),
-                crossing.parts(options.names("profiles"), options.settings().classes()), now);
-        Split split = settings.plan() == null ? Split.NONE
+        CrossingBudget budget = new CrossingBudget(
+                crossing.common(),
+                crossing.parts(options.names("profiles"), options.settings().classes()),
+                now);
+        Split split = settings.plan() == null
+                ? Split.NONE
                 : Split.of(settings.plan(), settings.site(), options.names("profiles"));
-        Router router = new Router(settings.site(), ownSite, budget, crossing.leastWork(), link.freshness(),
-                split);
+        Router router = new Router(settings.site(), ownSite, budget, crossing.leastWork(), link.freshness(), split);
         this.rules = options.settings().limits();
         this.starts = new StartTimes(settings.clockError() / 1_000_000);
-        this.store = settings.store() == null ? null : Sharing.begin(loop, own, settings.store(),
-                options.settings().limits(), seed);
+        this.store = settings.store() == null
+                ? null
+                : Sharing.begin(loop, own, settings.store(), options.settings().limits(), seed);
         if (store != null) {
             store.share(new CrossingParts(settings.site(), crossing.sitePerSecond(), budget, clock));
         }
@@ -103,23 +113,34 @@
         Random random = new Random(seed);
         Options far = FarSite.options(options, link.freshness());
         String self = Long.toHexString(random.nextLong());
-        FarSite.Own seen = new FarSite.Own(settings.site(), () -> Views.said(self, ownSite.state()),
-                counts -> {
-                    ownSite.others(counts, clock.getAsLong());
-                    tellOwnSite();
-                });
-        settings.sites().forEach((name, addresses) -> others.put(name, new FarSite(loop, seen,
-                name, addresses, link, far, new Http2Upstreams(loop, far, link.http2(), dialler(name)),
-                random.nextLong(), mostOpen, log, clock)));
-        this.dispatcher = new Dispatcher(loop, settings.site(), router, ownSite, own, others, reader,
-                link.freshness(), log, clock);
+        FarSite.Own seen = new FarSite.Own(settings.site(), () -> Views.said(self, ownSite.state()), counts -> {
+            ownSite.others(counts, clock.getAsLong());
+            tellOwnSite();
+        });
+        settings.sites()
+                .forEach((name, addresses) -> others.put(
+                        name,
+                        new FarSite(
+                                loop,
+                                seen,
+                                name,
+                                addresses,
+                                link,
+                                far,
+                                new Http2Upstreams(loop, far, link.http2(), dialler(name)),
+                                random.nextLong(),
+                                mostOpen,
+                                log,
+                                clock)));
+        this.dispatcher = new Dispatcher(
+                loop, settings.site(), router, ownSite, own, others, reader, link.freshness(), log, clock);
         this.frontend = new Frontend(dispatcher, options, mostOpen);
         GrpcSettings spoken = settings.upstreams().grpc();
-        this.grpc = spoken == null || spoken.listen() == null ? null
-                : new GrpcFront(loop, spoken, options, dispatcher, Long.toHexString(random.nextLong()),
-                        log::warn);
-        this.linkFront = new LinkFront(loop, link, tls, settings.sites().keySet(), dispatcher, reader,
-                random.nextLong(), log, clock);
+        this.grpc = spoken == null || spoken.listen() == null
+                ? null
+                : new GrpcFront(loop, spoken, options, dispatcher, Long.toHexString(random.nextLong()), log::warn);
+        this.linkFront = new LinkFront(
+                loop, link, tls, settings.sites().keySet(), dispatcher, reader, random.nextLong(), log, clock);
         dispatcher.whenPressed(linkFront::pressed);
     }
 
@@ -128,7 +149,8 @@
     }
 
     private Dialler dialler(String site) {
-        return (address, timeoutMs, initializer) -> new Bootstrap().group(loop)
+        return (address, timeoutMs, initializer) -> new Bootstrap()
+                .group(loop)
                 .channel(NioSocketChannel.class)
                 .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, timeoutMs)
                 .option(ChannelOption.TCP_NODELAY, true)
@@ -146,7 +168,7 @@
     }
 
     /** Where a gateway listens for clients, and where for other sites. */
-    public record Doors(InetSocketAddress clients, InetSocketAddress sites) { }
+    public record Doors(InetSocketAddress clients, InetSocketAddress sites) {}
 
     /**
      * Begins with the list of servers as it was last known, and listens for clients and for other sites; on
@@ -161,8 +183,7 @@
         ChannelFuture forClients = frontend.listen(loop, listen);
         ChannelFuture forGrpc = grpc == null ? forClients : grpc.listen();
         forSites.addListener(done -> forClients.addListener(also -> forGrpc.addListener(third -> {
-            Throwable cause = !done.isSuccess() ? done.cause() : also.isSuccess() ? third.cause()
-                    : also.cause();
+            Throwable cause = !done.isSuccess() ? done.cause() : also.isSuccess() ? third.cause() : also.cause();
             if (cause != null) {
                 started.completeExceptionally(new IOException("listening failed: " + cause.getMessage()));
                 return;
@@ -174,8 +195,8 @@
             if (tls != null) {
                 loop.scheduleWithFixedDelay(this::refresh, look, look, TimeUnit.NANOSECONDS);
             }
-            Doors doors = new Doors((InetSocketAddress) forClients.channel().localAddress(),
-                    (InetSocketAddress) forSites.channel().localAddress());
+            Doors doors = new Doors((InetSocketAddress) forClients.channel().localAddress(), (InetSocketAddress)
+                    forSites.channel().localAddress());
             log.info("started", "", "clients at " + doors.clients + ", sites at " + doors.sites);
             started.complete(doors);
         })));
@@ -207,16 +228,19 @@
         }
         targets.forEach(target -> servers.put(target.uid(), target));
         servers.values().removeIf(each -> each.state() == State.GONE);
-        LongSummaryStatistics started = servers.values().stream().filter(each -> each.state() == State.READY)
-                .mapToLong(Target::startedMs).summaryStatistics();
+        LongSummaryStatistics started = servers.values().stream()
+                .filter(each -> each.state() == State.READY)
+                .mapToLong(Target::startedMs)
+                .summaryStatistics();
         long now = System.currentTimeMillis();
         if (kind != ListKind.FAILED && started.getCount() == 0) {
             ownSite.noneReady(clock.getAsLong());
-        } else if (started.getCount() > 0 && started.getMax() != lastStart
+        } else if (started.getCount() > 0
+                && started.getMax() != lastStart
                 && now - started.getMin() < rules.rampTime() / 1_000_000) {
             lastStart = started.getMax();
-            ownSite.started(clock.getAsLong() - Math.max(0, now - lastStart) * 1_000_000, rules.coldShare(),
-                    rules.rampTime());
+            ownSite.started(
+                    clock.getAsLong() - Math.max(0, now - lastStart) * 1_000_000, rules.coldShare(), rules.rampTime());
         }
         tellOwnSite();
     }
@@ -233,7 +257,9 @@
         shown.put("crossed_served", counts.crossedServed);
         shown.put("by_link", counts.byLink);
         shown.put("open", (long) dispatcher.open());
-        shown.put("links_up", others.values().stream().mapToLong(FarSite::gatewaysUp).sum());
+        shown.put(
+                "links_up",
+                others.values().stream().mapToLong(FarSite::gatewaysUp).sum());
         shown.put("repeats", linkFront.repeats());
         shown.put("remembered", (long) linkFront.remembered());
         shown.put("remembered_bytes", linkFront.rememberedBytes());
--- a/src/main/java/pondridge/gateway/LinkDoor.java
+++ b/src/main/java/pondridge/gateway/LinkDoor.java
@@ -38,21 +38,41 @@
      *
      * @param visits makes the handler of one stream, which takes whole requests
      */
-    LinkDoor(EventLoop loop, GatewaySettings.Link link, LinkTls tls, Log log, LongSupplier clock,
+    LinkDoor(
+            EventLoop loop,
+            GatewaySettings.Link link,
+            LinkTls tls,
+            Log log,
+            LongSupplier clock,
             Function<HeldBytes.Share, ChannelHandler> visits) {
         this.link = link;
         this.log = log;
-        this.door = new Door(loop, new Door.Limits(link.listen(), link.connections(), link.streams(),
-                link.idle(),
-                LARGEST_HEADERS, link.http2().controlFrames(), link.heldBytes(), 0, 0), "link",
-                tls == null ? null : tls::server, log::warn, clock, (stream, share) -> opened(stream, share,
-                        visits));
+        this.door = new Door(
+                loop,
+                new Door.Limits(
+                        link.listen(),
+                        link.connections(),
+                        link.streams(),
+                        link.idle(),
+                        LARGEST_HEADERS,
+                        link.http2().controlFrames(),
+                        link.heldBytes(),
+                        0,
+                        0),
+                "link",
+                tls == null ? null : tls::server,
+                log::warn,
+                clock,
+                (stream, share) -> opened(stream, share, visits));
     }
 
-    private void opened(Channel stream, HeldBytes.Share share, Function<HeldBytes.Share,
-            ChannelHandler> visits) {
-        stream.pipeline().addLast(new Http2StreamFrameToHttpObjectCodec(true), new Arrival(share),
-                new HttpObjectAggregator(LARGEST_BODY), visits.apply(share));
+    private void opened(Channel stream, HeldBytes.Share share, Function<HeldBytes.Share, ChannelHandler> visits) {
+        stream.pipeline()
+                .addLast(
+                        new Http2StreamFrameToHttpObjectCodec(true),
+                        new Arrival(share),
+                        new HttpObjectAggregator(LARGEST_BODY),
+                        visits.apply(share));
     }
 
     ChannelFuture listen() {
@@ -85,11 +105,18 @@
 
         @Override
         public void handlerAdded(ChannelHandlerContext context) {
-            timer = context.executor().schedule(() -> {
-                log.warn("link_slow", String.valueOf(context.channel().parent().remoteAddress()),
-                        "a request did not come whole in time");
-                refuse(context);
-            }, link.transfer(), TimeUnit.NANOSECONDS);
+            timer = context.executor()
+                    .schedule(
+                            () -> {
+                                log.warn(
+                                        "link_slow",
+                                        String.valueOf(
+                                                context.channel().parent().remoteAddress()),
+                                        "a request did not come whole in time");
+                                refuse(context);
+                            },
+                            link.transfer(),
+                            TimeUnit.NANOSECONDS);
         }
 
         @Override
@@ -98,7 +125,9 @@
                 int more = content.content().readableBytes();
                 if (more > 0 && !share.take(more)) {
                     ReferenceCountUtil.release(message);
-                    log.warn("link_held", String.valueOf(context.channel().parent().remoteAddress()),
+                    log.warn(
+                            "link_held",
+                            String.valueOf(context.channel().parent().remoteAddress()),
                             "more of requests at a time than may be held");
                     refuse(context);
                     return;
--- a/src/main/java/pondridge/gateway/LinkFront.java
+++ b/src/main/java/pondridge/gateway/LinkFront.java
@@ -46,10 +46,11 @@
 final class LinkFront {
     /** A halving of a site's credit holds for a while before the next. */
     private static final long PAUSE = 200_000_000;
+
     private static final int MOST_JOINED = 8;
 
     /** What the far side keeps of an answer. */
-    private record Kept(HttpHeaders headers, byte[] body) { }
+    private record Kept(HttpHeaders headers, byte[] body) {}
 
     private final GatewaySettings.Link link;
     private final LongSupplier clock;
@@ -65,8 +66,15 @@
     private long repeats;
     private boolean draining;
 
-    LinkFront(EventLoop loop, GatewaySettings.Link link, LinkTls tls, Set<String> sites,
-            Dispatcher dispatcher, JobReader reader, long epoch, Log log,
+    LinkFront(
+            EventLoop loop,
+            GatewaySettings.Link link,
+            LinkTls tls,
+            Set<String> sites,
+            Dispatcher dispatcher,
+            JobReader reader,
+            long epoch,
+            Log log,
             LongSupplier clock) {
         this.link = link;
         this.clock = clock;
@@ -84,8 +92,7 @@
     }
 
     private CreditControl credit(String site) {
-        return credits.computeIfAbsent(site,
-                each -> new CreditControl(link.credit(), PAUSE, clock.getAsLong()));
+        return credits.computeIfAbsent(site, each -> new CreditControl(link.credit(), PAUSE, clock.getAsLong()));
     }
 
     /** Requests that were not run since the same one had run or was running. */
@@ -153,8 +160,14 @@
             if (!LinkHeaders.SPOKEN.equals(headers.get(LinkHeaders.VERSION))) {
                 turnAway("version", "speaks version " + headers.get(LinkHeaders.VERSION));
             } else if (request.uri().equals(LinkHeaders.BEAT)) {
-                answer(HttpResponseStatus.OK, new byte[0], new DefaultHttpHeaders().set(LinkHeaders.OTHERS,
-                        views.heard(site, headers.get(LinkHeaders.VIEW), now).text()));
+                answer(
+                        HttpResponseStatus.OK,
+                        new byte[0],
+                        new DefaultHttpHeaders()
+                                .set(
+                                        LinkHeaders.OTHERS,
+                                        views.heard(site, headers.get(LinkHeaders.VIEW), now)
+                                                .text()));
             } else if (!"1".equals(headers.get(LinkHeaders.HOPS))) {
                 turnAway("loop", "a request has come by " + headers.get(LinkHeaders.HOPS) + " links");
             } else if (!stamps.fresh(headers.get(LinkHeaders.STAMP), now)) {
@@ -176,8 +189,9 @@
             try {
                 long left = JobReader.number(request.headers(), LinkHeaders.LEFT) * 1_000_000;
                 HttpHeaders headers = request.headers().copy();
-                headers.names().stream().filter(name -> name.startsWith(LinkHeaders.PREFIX)
-                        || name.startsWith("x-http2-")).forEach(headers::remove);
+                headers.names().stream()
+                        .filter(name -> name.startsWith(LinkHeaders.PREFIX) || name.startsWith("x-http2-"))
+                        .forEach(headers::remove);
                 job = reader.read(request.method(), request.uri(), headers)
                         .with(ByteBufUtil.getBytes(request.content()));
                 job = job.within(Math.min(left, job.waitMs() * 1_000_000));
@@ -191,7 +205,8 @@
                 return;
             }
             // A keyed request runs to its end though its stream may be gone: the repeat gets its answer.
-            String key = job.requestClass() + "/" + job.tenant() + '/' + job.headers().get(JobReader.KEY);
+            String key = job.requestClass() + "/" + job.tenant() + '/'
+                    + job.headers().get(JobReader.KEY);
             keep = reader.kind(job).keyTtl();
             switch (memory.ask(key, digest(job), this, clock.getAsLong())) {
                 case RUN -> {
@@ -248,8 +263,7 @@
 
         /** The run has ended; gives all who wait for it, this one too if it does. */
         private List<Visit> end(Kept kept, int size) {
-            return remembered == null ? List.of(this)
-                    : memory.ended(remembered, kept, size, keep, clock.getAsLong());
+            return remembered == null ? List.of(this) : memory.ended(remembered, kept, size, keep, clock.getAsLong());
         }
 
         private void unserved(Tried what) {
@@ -294,14 +308,16 @@
             HttpUtil.setContentLength(response, response.content().readableBytes());
             response.headers().set(LinkHeaders.VERSION, LinkHeaders.SPOKEN);
             if (sites.contains(site)) {
-                response.headers().set(LinkHeaders.STAMP, stamps.issue(now))
+                response.headers()
+                        .set(LinkHeaders.STAMP, stamps.issue(now))
                         .set(LinkHeaders.CREDIT, draining ? 0 : credit(site).credit());
             }
             int size = response.content().readableBytes();
             share.add(size);
             ChannelFuture gone = stream.writeAndFlush(response);
-            Future<?> limit = gone.isDone() ? null : stream.eventLoop().schedule(this::takeBack,
-                    link.transfer(), TimeUnit.NANOSECONDS);
+            Future<?> limit = gone.isDone()
+                    ? null
+                    : stream.eventLoop().schedule(this::takeBack, link.transfer(), TimeUnit.NANOSECONDS);
             gone.addListener(done -> {
                 share.give(size);
                 if (limit != null) {
--- a/src/main/java/pondridge/gateway/LinkHeaders.java
+++ b/src/main/java/pondridge/gateway/LinkHeaders.java
@@ -31,5 +31,5 @@
     /** The path of a beat: asks for nothing but a stamp and credit. */
     static final String BEAT = "/bankflow/beat";
 
-    private LinkHeaders() { }
+    private LinkHeaders() {}
 }
--- a/src/main/java/pondridge/gateway/LinkTls.java
+++ b/src/main/java/pondridge/gateway/LinkTls.java
@@ -47,7 +47,7 @@
     private static final long HANDSHAKE_MS = 2_000;
     private static final byte[] PROBE = {1, 2, 3, 4};
 
-    private record Contexts(SslContext client, SslContext server, List<FileTime> changed) { }
+    private record Contexts(SslContext client, SslContext server, List<FileTime> changed) {}
 
     private final GatewaySettings.Tls files;
     private volatile Contexts contexts;
@@ -72,9 +72,14 @@
             checkPair();
             return new Contexts(
                     common(SslContextBuilder.forClient()
-                            .keyManager(files.certificate().toFile(), files.key().toFile())).build(),
-                    common(SslContextBuilder.forServer(files.certificate().toFile(), files.key().toFile()))
-                            .clientAuth(ClientAuth.REQUIRE).build(),
+                                    .keyManager(
+                                            files.certificate().toFile(),
+                                            files.key().toFile()))
+                            .build(),
+                    common(SslContextBuilder.forServer(
+                                    files.certificate().toFile(), files.key().toFile()))
+                            .clientAuth(ClientAuth.REQUIRE)
+                            .build(),
                     times);
         } catch (SSLException | GeneralSecurityException | IllegalArgumentException e) {
             throw new IOException("certificates " + files + " can't be used: " + e.getMessage(), e);
@@ -89,16 +94,19 @@
     private void checkPair() throws IOException, GeneralSecurityException {
         PublicKey open;
         try (InputStream in = Files.newInputStream(files.certificate())) {
-            open = CertificateFactory.getInstance("X.509").generateCertificate(in).getPublicKey();
+            open = CertificateFactory.getInstance("X.509")
+                    .generateCertificate(in)
+                    .getPublicKey();
         }
         String pem = Files.readString(files.key()).replaceAll("-----[^-]*-----|\\s", "");
         PrivateKey secret = KeyFactory.getInstance(open.getAlgorithm())
                 .generatePrivate(new PKCS8EncodedKeySpec(Base64.getDecoder().decode(pem)));
-        String way = switch (open.getAlgorithm()) {
-            case "EC" -> "SHA256withECDSA";
-            case "RSA" -> "SHA256withRSA";
-            default -> open.getAlgorithm();
-        };
+        String way =
+                switch (open.getAlgorithm()) {
+                    case "EC" -> "SHA256withECDSA";
+                    case "RSA" -> "SHA256withRSA";
+                    default -> open.getAlgorithm();
+                };
         Signature signing = Signature.getInstance(way);
         signing.initSign(secret);
         signing.update(PROBE);
@@ -111,11 +119,14 @@
     }
 
     private SslContextBuilder common(SslContextBuilder builder) {
-        return builder.sslProvider(SslProvider.JDK).trustManager(files.authorities().toFile())
+        return builder.sslProvider(SslProvider.JDK)
+                .trustManager(files.authorities().toFile())
                 .protocols("TLSv1.3", "TLSv1.2")
                 .ciphers(Http2SecurityUtil.CIPHERS, SupportedCipherSuiteFilter.INSTANCE)
-                .applicationProtocolConfig(new ApplicationProtocolConfig(Protocol.ALPN,
-                        SelectorFailureBehavior.NO_ADVERTISE, SelectedListenerFailureBehavior.ACCEPT,
+                .applicationProtocolConfig(new ApplicationProtocolConfig(
+                        Protocol.ALPN,
+                        SelectorFailureBehavior.NO_ADVERTISE,
+                        SelectedListenerFailureBehavior.ACCEPT,
                         ApplicationProtocolNames.HTTP_2));
     }
 
@@ -152,8 +163,10 @@
                 if (each instanceof X509Certificate leaf) {
                     Collection<List<?>> names = leaf.getSubjectAlternativeNames();
                     // 2 is a DNS name (RFC 5280, section 4.2.1.6); the first certificate is the peer's own.
-                    return names != null && names.stream()
-                            .anyMatch(name -> name.get(0).equals(2) && name.get(1).equals(site));
+                    return names != null
+                            && names.stream()
+                                    .anyMatch(name ->
+                                            name.get(0).equals(2) && name.get(1).equals(site));
                 }
             }
         } catch (SSLPeerUnverifiedException | CertificateParsingException e) {
--- a/src/main/java/pondridge/gateway/LinkTransport.java
+++ b/src/main/java/pondridge/gateway/LinkTransport.java
@@ -21,6 +21,7 @@
     private final Map<InetSocketAddress, Long> gateways = new HashMap<>();
     /** The gateway that each entry of the module's list stands for; the first entry's number is its own. */
     private final Map<Long, Long> gatewayOf = new HashMap<>();
+
     private final Map<Long, String> stamps = new HashMap<>();
     private final Map<Long, Integer> inFlight = new HashMap<>();
     private final BiConsumer<InetSocketAddress, Long> listedNew;
@@ -60,8 +61,7 @@
         // One attempt of a request is on its way at a time, so its headers are this one's.
         job.headers().set(LinkHeaders.STAMP, stamps.get(gateway)).set(LinkHeaders.LEFT, left);
         inFlight.merge(gateway, 1, Integer::sum);
-        return way.send(gateway, job, wait,
-                listener.after(outcome -> inFlight.merge(gateway, -1, Integer::sum)));
+        return way.send(gateway, job, wait, listener.after(outcome -> inFlight.merge(gateway, -1, Integer::sum)));
     }
 
     /** Sends a beat, which is no request: it needs no stamp and counts as nothing in flight. */
--- a/src/main/java/pondridge/gateway/OwnSite.java
+++ b/src/main/java/pondridge/gateway/OwnSite.java
@@ -8,7 +8,11 @@
  */
 final class OwnSite {
     /** Where the site is. */
-    enum State { IN, CUT, RETURNING }
+    enum State {
+        IN,
+        CUT,
+        RETURNING
+    }
 
     /**
      * How it is judged.
@@ -19,7 +23,7 @@
      * @param firstShare the part of requests that return first
      * @param doubling how long until that part doubles
      */
-    record Limits(int misses, long trial, long steady, double firstShare, long doubling) { }
+    record Limits(int misses, long trial, long steady, double firstShare, long doubling) {}
 
     private static final int MOST_RELAPSES = 4;
     private static final int FEWEST_MISSES = 2;
@@ -147,8 +151,8 @@
                 return true;
             }
             default -> {
-                double share = Math.min(warmth(now),
-                        limits.firstShare() * Math.pow(2, (now - since) / (double) limits.doubling()));
+                double share = Math.min(
+                        warmth(now), limits.firstShare() * Math.pow(2, (now - since) / (double) limits.doubling()));
                 if (share >= 1) {
                     state = State.IN;
                     relapses = 0;
--- a/src/main/java/pondridge/gateway/Router.java
+++ b/src/main/java/pondridge/gateway/Router.java
@@ -17,10 +17,10 @@
  */
 final class Router {
     /** The next step. */
-    sealed interface Step permits Own, Across, Wait, Refuse, Fail { }
+    sealed interface Step permits Own, Across, Wait, Refuse, Fail {}
 
     /** To the own servers, for so long. */
-    record Own(long left) implements Step { }
+    record Own(long left) implements Step {}
 
     /**
      * To another site.
@@ -29,19 +29,19 @@
      * @param window how long from now it may be sent to servers there; without bound where nothing of it may
      *     have run so far
      */
-    record Across(String site, long left, long window) implements Step { }
+    record Across(String site, long left, long window) implements Step {}
 
     /**
      * Asked again after so long: it may have run, its repeat is allowed, and no way to it is there just now.
      * A link that has broken comes up again within some beats.
      */
-    record Wait(long delay) implements Step { }
+    record Wait(long delay) implements Step {}
 
     /** The final answer: trying again is harmless. */
-    record Refuse() implements Step { }
+    record Refuse() implements Step {}
 
     /** The final answer: failed, with no promise about effects. */
-    record Fail() implements Step { }
+    record Fail() implements Step {}
 
     /**
      * Another site as it is seen from here.
@@ -61,6 +61,7 @@
      * more after each wait.
      */
     private static final int MOST_ACROSS = 2;
+
     private static final int MOST_WAITS = 4;
     private static final long FIRST_WAIT = 50_000_000;
     private final String own;
@@ -102,15 +103,15 @@
      */
     Step next(long now, RequestClass kind, long deadline, Trail trail, Map<String, Site> sites) {
         long left = deadline - now;
-        boolean ownPossible = left > leastWork && trail.timesAt(own) == 0
-                && allowed(now, kind, trail, own, 0);
+        boolean ownPossible = left > leastWork && trail.timesAt(own) == 0 && allowed(now, kind, trail, own, 0);
         if (ownPossible && (trail.byLink() || ownSite.accepts(now))) {
             return new Own(left);
         }
         // Danger: what goes beyond the plan finds no room there and takes it from who would. Who has been on
         // his way before, and who finds the own site full while it stands, is not measured by the plan.
         Set<String> reached = reached(now, sites);
-        boolean planned = ownSite.state() != OwnSite.State.CUT || !trail.fresh()
+        boolean planned = ownSite.state() != OwnSite.State.CUT
+                || !trail.fresh()
                 || split.admits(trail.requestClass(), trail.key(), reached);
         if (!trail.byLink() && planned) {
             Across across = across(now, left, kind, trail, sites, reached);
@@ -127,16 +128,14 @@
             return new Refuse();
         }
         long delay = FIRST_WAIT << trail.waits();
-        if (!trail.byLink() && trail.waits() < MOST_WAITS && mayCrossLater(now + delay, kind, deadline, trail,
-                sites)) {
+        if (!trail.byLink() && trail.waits() < MOST_WAITS && mayCrossLater(now + delay, kind, deadline, trail, sites)) {
             trail.waited();
             return new Wait(delay);
         }
         return new Fail();
     }
 
-    private boolean mayCrossLater(long then, RequestClass kind, long deadline, Trail trail,
-            Map<String, Site> sites) {
+    private boolean mayCrossLater(long then, RequestClass kind, long deadline, Trail trail, Map<String, Site> sites) {
         return sites.entrySet().stream().anyMatch(each -> {
             long trip = each.getValue().link.estimate();
             return trail.timesAt(each.getKey()) <= MOST_ACROSS + trail.waits()
@@ -148,26 +147,33 @@
     private static Set<String> reached(long now, Map<String, Site> sites) {
         return sites.entrySet().stream()
                 .filter(each -> each.getValue().up && !each.getValue().link.stalled(now))
-                .map(Map.Entry::getKey).collect(Collectors.toCollection(TreeSet::new));
+                .map(Map.Entry::getKey)
+                .collect(Collectors.toCollection(TreeSet::new));
     }
 
     /** The site that the plan gives it, else the nearest that can take it; its crossing is then paid for. */
-    private Across across(long now, long left, RequestClass kind, Trail trail, Map<String, Site> sites,
-            Set<String> reached) {
+    private Across across(
+            long now, long left, RequestClass kind, Trail trail, Map<String, Site> sites, Set<String> reached) {
         double kept = budget.kept(trail.requestClass());
         Map<String, Long> able = new TreeMap<>();
         for (Map.Entry<String, Site> each : new TreeMap<>(sites).entrySet()) {
             Site site = each.getValue();
             long trip = site.link.estimate();
-            if (reached.contains(each.getKey()) && site.takes(kept) && left - trip > leastWork
+            if (reached.contains(each.getKey())
+                    && site.takes(kept)
+                    && left - trip > leastWork
                     && trail.timesAt(each.getKey()) < MOST_ACROSS + trail.waits()
                     && allowed(now, kind, trail, each.getKey(), trip + freshness)) {
                 able.put(each.getKey(), trip);
             }
         }
         String planned = split.pick(trail.requestClass(), trail.key(), able.keySet(), reached);
-        String chosen = planned != null ? planned : able.entrySet().stream()
-                .min(Map.Entry.comparingByValue()).map(Map.Entry::getKey).orElse(null);
+        String chosen = planned != null
+                ? planned
+                : able.entrySet().stream()
+                        .min(Map.Entry.comparingByValue())
+                        .map(Map.Entry::getKey)
+                        .orElse(null);
         if (chosen == null || !budget.take(trail.requestClass(), now)) {
             return null;
         }
@@ -177,7 +183,8 @@
 
     private static long window(long now, RequestClass kind, Trail trail) {
         Trail.Doubt doubt = trail.doubt();
-        return doubt == null || kind.semantics() != Semantics.BY_KEY ? Long.MAX_VALUE
+        return doubt == null || kind.semantics() != Semantics.BY_KEY
+                ? Long.MAX_VALUE
                 : doubt.since() + kind.keyTtl() - now;
     }
 
--- a/src/main/java/pondridge/gateway/StartTimes.java
+++ b/src/main/java/pondridge/gateway/StartTimes.java
@@ -18,7 +18,7 @@
  * a server may count as cold for longer than it is. No I/O; times in milliseconds.
  */
 final class StartTimes {
-    private record Seen(long told, long held) { }
+    private record Seen(long told, long held) {}
 
     private final long error;
     private final Map<String, Seen> seen = new HashMap<>();
@@ -38,16 +38,23 @@
         List<Target> held = new ArrayList<>(targets.size());
         for (Target target : targets) {
             Seen before = seen.get(target.uid());
-            long started = before != null && before.told == target.startedMs() ? before.held
-                    : listed ? now
-                    : target.startedMs() == 0 ? 0 : Math.min(now, target.startedMs() + error);
+            long started = before != null && before.told == target.startedMs()
+                    ? before.held
+                    : listed ? now : target.startedMs() == 0 ? 0 : Math.min(now, target.startedMs() + error);
             if (target.state() == State.GONE) {
                 seen.remove(target.uid());
             } else {
                 seen.put(target.uid(), new Seen(target.startedMs(), started));
             }
-            held.add(new Target(target.uid(), target.endpoint(), target.zone(), target.kind(), target.cell(),
-                    target.state(), target.weight(), started));
+            held.add(new Target(
+                    target.uid(),
+                    target.endpoint(),
+                    target.zone(),
+                    target.kind(),
+                    target.cell(),
+                    target.state(),
+                    target.weight(),
+                    started));
         }
         // A cached list may be of any age: what has changed since may have changed long ago.
         listed |= kind == ListKind.FULL || kind == ListKind.DELTA;
--- a/src/main/java/pondridge/gateway/Trail.java
+++ b/src/main/java/pondridge/gateway/Trail.java
@@ -20,7 +20,7 @@
     }
 
     /** The first sending that may have run: its site, and when it left here. */
-    record Doubt(String site, long since) { }
+    record Doubt(String site, long since) {}
 
     private final List<Sending> sendings = new ArrayList<>(2);
     private final int requestClass;
--- a/src/main/java/pondridge/gateway/Views.java
+++ b/src/main/java/pondridge/gateway/Views.java
@@ -29,15 +29,19 @@
         static Counts read(String text) {
             String[] parts = text == null || text.length() > LONGEST_NAME ? new String[0] : text.split(",");
             try {
-                return parts.length != 3 ? NONE : new Counts(Integer.parseUnsignedInt(parts[0]),
-                        Integer.parseUnsignedInt(parts[1]), Integer.parseUnsignedInt(parts[2]));
+                return parts.length != 3
+                        ? NONE
+                        : new Counts(
+                                Integer.parseUnsignedInt(parts[0]),
+                                Integer.parseUnsignedInt(parts[1]),
+                                Integer.parseUnsignedInt(parts[2]));
             } catch (NumberFormatException e) {
                 return NONE;
             }
         }
     }
 
-    private record Said(OwnSite.State state, long at) { }
+    private record Said(OwnSite.State state, long at) {}
 
     private final Map<String, Map<String, Said>> bySite = new HashMap<>();
 
@@ -60,13 +64,16 @@
             }
         }
         if (all.size() > MOST_GATEWAYS) {
-            all.entrySet().stream().min((one, two) -> Long.compare(one.getValue().at, two.getValue().at))
-                    .map(Map.Entry::getKey).ifPresent(all::remove);
+            all.entrySet().stream()
+                    .min((one, two) -> Long.compare(one.getValue().at, two.getValue().at))
+                    .map(Map.Entry::getKey)
+                    .ifPresent(all::remove);
         }
         Map<OwnSite.State, Integer> counts = new EnumMap<>(OwnSite.State.class);
-        all.forEach((gateway, each) -> counts.merge(each.state, gateway.equals(parts[0]) ? 0 : 1,
-                Integer::sum));
-        return new Counts(counts.getOrDefault(OwnSite.State.IN, 0), counts.getOrDefault(OwnSite.State.CUT, 0),
+        all.forEach((gateway, each) -> counts.merge(each.state, gateway.equals(parts[0]) ? 0 : 1, Integer::sum));
+        return new Counts(
+                counts.getOrDefault(OwnSite.State.IN, 0),
+                counts.getOrDefault(OwnSite.State.CUT, 0),
                 counts.getOrDefault(OwnSite.State.RETURNING, 0));
     }
 }
--- a/src/main/java/pondridge/grpc/FinalCode.java
+++ b/src/main/java/pondridge/grpc/FinalCode.java
@@ -8,7 +8,7 @@
     /** The core answers so long before the client's time is over, so that its answer comes in time. */
     private static final long ROOM = 20_000_000;
 
-    private FinalCode() { }
+    private FinalCode() {}
 
     /** Refused: trying again is harmless. */
     static GrpcCode refused() {
--- a/src/main/java/pondridge/grpc/GrpcFront.java
+++ b/src/main/java/pondridge/grpc/GrpcFront.java
@@ -49,9 +49,12 @@
  */
 public final class GrpcFront {
     /** HTTP/2 and nothing else is spoken above TLS. */
-    static final ApplicationProtocolConfig ALPN = new ApplicationProtocolConfig(Protocol.ALPN,
-            SelectorFailureBehavior.NO_ADVERTISE, SelectedListenerFailureBehavior.ACCEPT,
+    static final ApplicationProtocolConfig ALPN = new ApplicationProtocolConfig(
+            Protocol.ALPN,
+            SelectorFailureBehavior.NO_ADVERTISE,
+            SelectedListenerFailureBehavior.ACCEPT,
             ApplicationProtocolNames.HTTP_2);
+
     private static final AsciiString STATUS = AsciiString.cached("grpc-status");
     private static final AsciiString MESSAGE = AsciiString.cached("grpc-message");
     private static final AsciiString PUSHBACK = AsciiString.cached("grpc-retry-pushback-ms");
@@ -76,20 +79,35 @@
      *
      * @param run names this run of the program in the ids that it makes
      */
-    public GrpcFront(EventLoop loop, GrpcSettings settings, Options platform, Requests requests, String run,
+    public GrpcFront(
+            EventLoop loop,
+            GrpcSettings settings,
+            Options platform,
+            Requests requests,
+            String run,
             Door.Events events) {
         this.settings = settings;
         this.methods = settings.methods(platform);
         this.reader = new JobReader(platform);
         this.requests = requests;
         this.made = run;
-        this.door = new Door(loop, new Door.Limits(settings.listen(), settings.connections(),
-                settings.streams(),
-                settings.idle(), settings.headerBytes(), settings.controlFrames(), settings.heldBytes(),
-                settings.age(), settings.grace()),
-                        "grpc",
-                settings.tls() == null ? null : channel -> settings.tls().newHandler(channel.alloc()), events,
-                System::nanoTime, (stream, share) -> stream.pipeline().addLast(new Call(stream, share)));
+        this.door = new Door(
+                loop,
+                new Door.Limits(
+                        settings.listen(),
+                        settings.connections(),
+                        settings.streams(),
+                        settings.idle(),
+                        settings.headerBytes(),
+                        settings.controlFrames(),
+                        settings.heldBytes(),
+                        settings.age(),
+                        settings.grace()),
+                "grpc",
+                settings.tls() == null ? null : channel -> settings.tls().newHandler(channel.alloc()),
+                events,
+                System::nanoTime,
+                (stream, share) -> stream.pipeline().addLast(new Call(stream, share)));
     }
 
     /** Listens; health says no until {@link #ready}. */
@@ -147,9 +165,11 @@
 
         @Override
         public void handlerAdded(ChannelHandlerContext context) {
-            timer = stream.eventLoop().schedule(() -> end(GrpcCode.CANCELLED,
-                    "the call did not come whole in time", 0),
-                    settings.transfer(), TimeUnit.NANOSECONDS);
+            timer = stream.eventLoop()
+                    .schedule(
+                            () -> end(GrpcCode.CANCELLED, "the call did not come whole in time", 0),
+                            settings.transfer(),
+                            TimeUnit.NANOSECONDS);
         }
 
         @Override
@@ -173,8 +193,7 @@
         }
 
         private boolean begin() {
-            if (!Verdict.isGrpc(head.get(HttpHeaderNames.CONTENT_TYPE))
-                    || !"POST".contentEquals(head.method())) {
+            if (!Verdict.isGrpc(head.get(HttpHeaderNames.CONTENT_TYPE)) || !"POST".contentEquals(head.method())) {
                 finish(() -> stream.writeAndFlush(
                         new DefaultHttp2HeadersFrame(new DefaultHttp2Headers().status("415"), true)));
                 return false;
@@ -190,7 +209,9 @@
         private void take(Http2DataFrame data) {
             int more = data.content().readableBytes();
             if (body.size() + more > settings.rules().most() + PREFIX) {
-                end(GrpcCode.RESOURCE_EXHAUSTED, "message larger than " + settings.rules().most() + " bytes",
+                end(
+                        GrpcCode.RESOURCE_EXHAUSTED,
+                        "message larger than " + settings.rules().most() + " bytes",
                         0);
                 return;
             }
@@ -209,7 +230,9 @@
         private void whole() {
             whole = true;
             timer.cancel(false);
-            UnaryMessage.Read read = UnaryMessage.read(body.toByteArray(), head.get("grpc-encoding"),
+            UnaryMessage.Read read = UnaryMessage.read(
+                    body.toByteArray(),
+                    head.get("grpc-encoding"),
                     settings.rules().most());
             if (read.message() == null) {
                 end(read.code(), read.problem(), 0);
@@ -241,9 +264,12 @@
             HttpHeaders headers = new DefaultHttpHeaders();
             for (Map.Entry<CharSequence, CharSequence> each : head) {
                 String name = each.getKey().toString();
-                if (!name.startsWith(":") && !name.startsWith("grpc-") && !Headers.ofOneHop(name)
+                if (!name.startsWith(":")
+                        && !name.startsWith("grpc-")
+                        && !Headers.ofOneHop(name)
                         && !HttpHeaderNames.CONTENT_TYPE.contentEquals(name)
-                        && !HttpHeaderNames.CONTENT_LENGTH.contentEquals(name) && !name.startsWith("req-")) {
+                        && !HttpHeaderNames.CONTENT_LENGTH.contentEquals(name)
+                        && !name.startsWith("req-")) {
                     headers.add(name, each.getValue());
                 }
             }
@@ -259,8 +285,7 @@
             if (left < 0) {
                 throw new IllegalArgumentException("not a grpc-timeout: " + timeout);
             }
-            headers.set("Req-Deadline-Ms", Long.toString(Math.min(999_999_999, Math.max(1,
-                    left / 1_000_000))));
+            headers.set("Req-Deadline-Ms", Long.toString(Math.min(999_999_999, Math.max(1, left / 1_000_000))));
             return reader.read(method.http(), method.target(message), headers)
                     .with(method.get() ? new byte[0] : message);
         }
@@ -308,7 +333,8 @@
             Http2Headers headers = new DefaultHttp2Headers();
             for (Map.Entry<String, String> each : from) {
                 AsciiString name = AsciiString.of(each.getKey()).toLowerCase();
-                if (!name.startsWith("grpc-") && !Headers.ofOneHop(name)
+                if (!name.startsWith("grpc-")
+                        && !Headers.ofOneHop(name)
                         && !name.contentEquals(HttpHeaderNames.CONTENT_LENGTH)
                         && !name.contentEquals(HttpHeaderNames.CONTENT_TYPE)) {
                     headers.add(name, each.getValue());
@@ -318,7 +344,9 @@
         }
 
         private void answer(byte[] message, HttpHeaders headers) {
-            Http2Headers first = trailers(headers).status("200").set(HttpHeaderNames.CONTENT_TYPE, TYPE)
+            Http2Headers first = trailers(headers)
+                    .status("200")
+                    .set(HttpHeaderNames.CONTENT_TYPE, TYPE)
                     .set("grpc-accept-encoding", UnaryMessage.ACCEPTED);
             finish(() -> {
                 stream.write(new DefaultHttp2HeadersFrame(first));
@@ -332,8 +360,11 @@
 
         /** Ends the call with nothing but a status. */
         private void end(GrpcCode code, String text, long wait) {
-            Http2Headers all = new DefaultHttp2Headers().status("200").set(HttpHeaderNames.CONTENT_TYPE, TYPE)
-                    .set(STATUS, code.number()).set(MESSAGE, FinalCode.message(text));
+            Http2Headers all = new DefaultHttp2Headers()
+                    .status("200")
+                    .set(HttpHeaderNames.CONTENT_TYPE, TYPE)
+                    .set(STATUS, code.number())
+                    .set(MESSAGE, FinalCode.message(text));
             if (wait > 0) {
                 all.set(PUSHBACK, Long.toString(Math.max(1, wait / 1_000_000)));
             }
@@ -348,8 +379,10 @@
             timer.cancel(false);
             ChannelFuture written = write.get();
             // An answer that waits for the client's window for too long.
-            timer = stream.eventLoop().schedule(() -> stream.writeAndFlush(
-                    new DefaultHttp2ResetFrame(Http2Error.CANCEL)), settings.transfer(),
+            timer = stream.eventLoop()
+                    .schedule(
+                            () -> stream.writeAndFlush(new DefaultHttp2ResetFrame(Http2Error.CANCEL)),
+                            settings.transfer(),
                             TimeUnit.NANOSECONDS);
             written.addListener(done -> {
                 timer.cancel(false);
--- a/src/main/java/pondridge/grpc/GrpcSettings.java
+++ b/src/main/java/pondridge/grpc/GrpcSettings.java
@@ -42,12 +42,26 @@
  * @param age of a connection, after which it is asked to leave
  * @param grace how long it may stay then, for what is open on it
  */
-public record GrpcSettings(String file, InetSocketAddress listen, SslContext tls, String tenant, String key,
-        String id, Verdict.Rules rules, Map<String, Named> methods, int connections, int streams, long idle,
-        long transfer, int heldBytes, int headerBytes, int controlFrames, long age,
+public record GrpcSettings(
+        String file,
+        InetSocketAddress listen,
+        SslContext tls,
+        String tenant,
+        String key,
+        String id,
+        Verdict.Rules rules,
+        Map<String, Named> methods,
+        int connections,
+        int streams,
+        long idle,
+        long transfer,
+        int heldBytes,
+        int headerBytes,
+        int controlFrames,
+        long age,
         long grace) {
     /** A method as it stands in the settings. */
-    record Named(String path, String className, String uri) { }
+    record Named(String path, String className, String uri) {}
 
     private static final String PATH = "/[A-Za-z_][A-Za-z0-9_.]*/[A-Za-z_][A-Za-z0-9_]*";
     private static final String METADATA = "[a-z0-9_.-]{1,64}";
@@ -63,40 +77,46 @@
         Map<String, Named> methods = new LinkedHashMap<>();
         Set<String> seen = new HashSet<>();
         file.section("grpc_methods").sections().forEach((name, each) -> {
-            Named named = new Named(each.text("path", null), each.text("class", null), each.text("uri",
-                    null));
+            Named named = new Named(each.text("path", null), each.text("class", null), each.text("uri", null));
             if (!named.path.matches(PATH) || !seen.add(named.path)) {
-                throw each.contradiction("path", "expected /package.Service/Method, each once, found "
-                        + named.path);
+                throw each.contradiction("path", "expected /package.Service/Method, each once, found " + named.path);
             }
             if (!named.uri.matches("/api(/[A-Za-z0-9_.~-]+)*") || !seen.add(named.className + named.uri)) {
-                throw each.contradiction("uri", "expected a path under /api, each once for a class, found "
-                        + named.uri);
+                throw each.contradiction(
+                        "uri", "expected a path under /api, each once for a class, found " + named.uri);
             }
             methods.put(name, named);
         });
-        Verdict.Rules rules = new Verdict.Rules(codes(section, "declines", List.of("UNAVAILABLE")),
-                metadata(section, "decline_mark", "srv-declined"), codes(section, "passed_on", List.of()),
+        Verdict.Rules rules = new Verdict.Rules(
+                codes(section, "declines", List.of("UNAVAILABLE")),
+                metadata(section, "decline_mark", "srv-declined"),
+                codes(section, "passed_on", List.of()),
                 section.size("message_bytes", "64KiB", "1KiB", "64MiB"));
-        return new GrpcSettings(file.name(), address, tls(section, folder, address),
-                metadata(section, "tenant", "req-owner"), metadata(section, "key", "idempotency-key"),
-                metadata(section, "id", "req-id"), rules, methods, section.number("connections", 256, 1,
-                        100_000),
-                section.number("streams", 100, 1, 10_000), section.time("idle", "60s", "100ms", "60min"),
+        return new GrpcSettings(
+                file.name(),
+                address,
+                tls(section, folder, address),
+                metadata(section, "tenant", "req-owner"),
+                metadata(section, "key", "idempotency-key"),
+                metadata(section, "id", "req-id"),
+                rules,
+                methods,
+                section.number("connections", 256, 1, 100_000),
+                section.number("streams", 100, 1, 10_000),
+                section.time("idle", "60s", "100ms", "60min"),
                 section.time("transfer", "2500ms", "100ms", "1min"),
                 section.size("held_bytes", "16MiB", "64KiB", "1024MiB"),
                 section.size("header_bytes", "8KiB", "1KiB", "1MiB"),
                 section.number("control_frames", 200, 10, 1_000_000),
-                section.time("max_age", "30min", "1s", "600min"), section.time("grace", "10s", "100ms",
-                        "10min"));
+                section.time("max_age", "30min", "1s", "600min"),
+                section.time("grace", "10s", "100ms", "10min"));
     }
 
     private static String metadata(Section section, String key, String absent) {
         String name = section.text(key, absent);
         boolean none = name.equals("none") && key.equals("decline_mark");
         if (!none && (!name.matches(METADATA) || name.startsWith("grpc-") || name.endsWith("-bin"))) {
-            throw section.contradiction(key, "expected a name of text metadata in small letters, found "
-                    + name);
+            throw section.contradiction(key, "expected a name of text metadata in small letters, found " + name);
         }
         return none ? "" : name;
     }
@@ -131,19 +151,18 @@
         Path certificate = folder.resolve(section.text("certificate", null));
         Path key = folder.resolve(section.text("key_file", null));
         try {
-            return SslContextBuilder.forServer(certificate.toFile(),
-                    key.toFile()).sslProvider(SslProvider.JDK)
-                    .applicationProtocolConfig(GrpcFront.ALPN).build();
+            return SslContextBuilder.forServer(certificate.toFile(), key.toFile())
+                    .sslProvider(SslProvider.JDK)
+                    .applicationProtocolConfig(GrpcFront.ALPN)
+                    .build();
         } catch (SSLException | IllegalArgumentException e) {
-            throw section.contradiction("certificate", "can't be used: " + certificate + ": "
-                    + e.getMessage());
+            throw section.contradiction("certificate", "can't be used: " + certificate + ": " + e.getMessage());
         }
     }
 
     private static InetSocketAddress address(Section section, String text) {
         int colon = text.lastIndexOf(':');
-        InetAddress host = colon < 0 ? null
-                : NetUtil.createInetAddressFromIpAddressString(text.substring(0, colon));
+        InetAddress host = colon < 0 ? null : NetUtil.createInetAddressFromIpAddressString(text.substring(0, colon));
         try {
             if (host != null) {
                 return new InetSocketAddress(host, Integer.parseInt(text.substring(colon + 1)));
@@ -164,7 +183,9 @@
         methods.forEach((name, named) -> {
             int number = classes.indexOf(named.className);
             if (number < 0) {
-                throw new SettingsException(file, "grpc_methods." + name + ".class",
+                throw new SettingsException(
+                        file,
+                        "grpc_methods." + name + ".class",
                         "the platform's file has no class " + named.className + "; it has "
                                 + String.join(", ", classes));
             }
--- a/src/main/java/pondridge/grpc/GrpcTimeout.java
+++ b/src/main/java/pondridge/grpc/GrpcTimeout.java
@@ -7,10 +7,9 @@
 final class GrpcTimeout {
     private static final int MOST_DIGITS = 8;
     private static final String UNITS = "HMSmun";
-    private static final long[] NANOS = {3_600_000_000_000L, 60_000_000_000L, 1_000_000_000L, 1_000_000L,
-            1_000L, 1L};
+    private static final long[] NANOS = {3_600_000_000_000L, 60_000_000_000L, 1_000_000_000L, 1_000_000L, 1_000L, 1L};
 
-    private GrpcTimeout() { }
+    private GrpcTimeout() {}
 
     /** Nanoseconds; -1 for what is none. */
     static long read(CharSequence text) {
--- a/src/main/java/pondridge/grpc/GrpcWording.java
+++ b/src/main/java/pondridge/grpc/GrpcWording.java
@@ -19,6 +19,7 @@
 public final class GrpcWording implements Wording {
     /** Carries a status that is the application's answer, and no failure, to the front. */
     static final String STATUS = "Grpc-Status";
+
     static final String MESSAGE = "Grpc-Message";
     private static final AsciiString STATUS_NAME = AsciiString.cached("grpc-status");
     private static final AsciiString MESSAGE_NAME = AsciiString.cached("grpc-message");
@@ -60,10 +61,14 @@
     @Override
     public Http2Headers head(Job job, long left) {
         Http2Headers head = new DefaultHttp2Headers(false, 16);
-        head.method(HttpMethod.POST.asciiName()).scheme("http").path(probe(job) ? HEALTH : method(job).path())
+        head.method(HttpMethod.POST.asciiName())
+                .scheme("http")
+                .path(probe(job) ? HEALTH : method(job).path())
                 .authority(job.headers().get(HttpHeaderNames.HOST, "app.svc"));
-        head.set(HttpHeaderNames.CONTENT_TYPE, CONTENT_TYPE).set(HttpHeaderNames.TE, "trailers")
-                .set(TIMEOUT, GrpcTimeout.write(left)).set(ACCEPT_ENCODING, UnaryMessage.ACCEPTED);
+        head.set(HttpHeaderNames.CONTENT_TYPE, CONTENT_TYPE)
+                .set(HttpHeaderNames.TE, "trailers")
+                .set(TIMEOUT, GrpcTimeout.write(left))
+                .set(ACCEPT_ENCODING, UnaryMessage.ACCEPTED);
         for (Map.Entry<String, String> each : job.headers()) {
             AsciiString name = AsciiString.of(each.getKey()).toLowerCase();
             if (!Headers.ofOneHop(name) && !reserved(name)) {
@@ -75,10 +80,12 @@
 
     /** Of the transport or of HTTP, and no metadata. */
     private static boolean reserved(AsciiString name) {
-        return name.startsWith("grpc-") || name.contentEquals(HttpHeaderNames.HOST)
+        return name.startsWith("grpc-")
+                || name.contentEquals(HttpHeaderNames.HOST)
                 || name.contentEquals(HttpHeaderNames.CONTENT_TYPE)
                 || name.contentEquals(HttpHeaderNames.CONTENT_LENGTH)
-                || name.contentEquals("req-deadline-ms") || name.contentEquals("req-kind");
+                || name.contentEquals("req-deadline-ms")
+                || name.contentEquals("req-kind");
     }
 
     private CharSequence named(AsciiString name) {
@@ -95,21 +102,29 @@
     public Ended answer(Job job, Http2Headers head, HttpHeaders through, byte[] body, Http2Headers trailers) {
         Http2Headers last = trailers == null ? head : trailers;
         String mark = settings.rules().mark();
-        Verdict verdict = Verdict.of(new Verdict.Came(head.get(HttpHeaderNames.CONTENT_TYPE),
-                head.get(ENCODING),
-                last.get(STATUS_NAME), trailers == null && body.length == 0,
-                !mark.isEmpty() && "1".contentEquals(String.valueOf(last.get(mark))), body),
-                        settings.rules());
+        Verdict verdict = Verdict.of(
+                new Verdict.Came(
+                        head.get(HttpHeaderNames.CONTENT_TYPE),
+                        head.get(ENCODING),
+                        last.get(STATUS_NAME),
+                        trailers == null && body.length == 0,
+                        !mark.isEmpty() && "1".contentEquals(String.valueOf(last.get(mark))),
+                        body),
+                settings.rules());
         if (verdict.outcome() != Outcome.OK) {
             return new Ended(verdict.outcome(), null);
         }
         if (probe(job)) {
             boolean serving = java.util.Arrays.equals(SERVING, verdict.message());
-            return serving ? new Ended(Outcome.OK, new Answer(through, verdict.message()))
+            return serving
+                    ? new Ended(Outcome.OK, new Answer(through, verdict.message()))
                     : new Ended(Outcome.ERROR, null);
         }
-        through.remove(HttpHeaderNames.CONTENT_TYPE).remove(ENCODING).remove(ACCEPT_ENCODING)
-                .remove(STATUS_NAME).remove(MESSAGE_NAME);
+        through.remove(HttpHeaderNames.CONTENT_TYPE)
+                .remove(ENCODING)
+                .remove(ACCEPT_ENCODING)
+                .remove(STATUS_NAME)
+                .remove(MESSAGE_NAME);
         if (verdict.code() != GrpcCode.OK) {
             through.set(STATUS, verdict.code().number());
             if (last.get(MESSAGE_NAME) != null) {
--- a/src/main/java/pondridge/grpc/MessageReader.java
+++ b/src/main/java/pondridge/grpc/MessageReader.java
@@ -9,7 +9,12 @@
  */
 final class MessageReader {
     /** What was read, or why nothing can be read any more. */
-    enum State { MORE, MESSAGE, TOO_LARGE, BAD_FLAG }
+    enum State {
+        MORE,
+        MESSAGE,
+        TOO_LARGE,
+        BAD_FLAG
+    }
 
     private static final int PREFIX = 5;
     private static final int FIRST = 256;
@@ -42,8 +47,7 @@
         if (prefixed < PREFIX) {
             return at - from;
         }
-        long wanted = (prefix[1] & 0xffL) << 24 | (prefix[2] & 0xff) << 16 | (prefix[3] & 0xff) << 8
-                | prefix[4] & 0xff;
+        long wanted = (prefix[1] & 0xffL) << 24 | (prefix[2] & 0xff) << 16 | (prefix[3] & 0xff) << 8 | prefix[4] & 0xff;
         if ((prefix[0] & 0xff) > 1) {
             failed = State.BAD_FLAG;
         } else if (wanted > most) {
@@ -52,8 +56,7 @@
             length = (int) wanted;
             int taken = Math.min(length - got, to - at);
             if (got + taken > body.length) {
-                body = Arrays.copyOf(body, Math.min(length, Math.max(FIRST, Math.max(2 * body.length, got
-                        + taken))));
+                body = Arrays.copyOf(body, Math.min(length, Math.max(FIRST, Math.max(2 * body.length, got + taken))));
             }
             System.arraycopy(bytes, at, body, got, taken);
             got += taken;
--- a/src/main/java/pondridge/grpc/Method.java
+++ b/src/main/java/pondridge/grpc/Method.java
@@ -23,7 +23,8 @@
 
     /** The target of an HTTP/1.1 request with this message. */
     String target(byte[] message) {
-        return !get || message.length == 0 ? uri
+        return !get || message.length == 0
+                ? uri
                 : uri + QUERY + Base64.getUrlEncoder().withoutPadding().encodeToString(message);
     }
 
@@ -35,8 +36,9 @@
         }
         try {
             int end = target.indexOf('&', at);
-            return Base64.getUrlDecoder().decode(target.substring(at + QUERY.length(),
-                    end < 0 ? target.length() : end).getBytes(StandardCharsets.ISO_8859_1));
+            return Base64.getUrlDecoder()
+                    .decode(target.substring(at + QUERY.length(), end < 0 ? target.length() : end)
+                            .getBytes(StandardCharsets.ISO_8859_1));
         } catch (IllegalArgumentException e) {
             return null;
         }
--- a/src/main/java/pondridge/grpc/MethodTable.java
+++ b/src/main/java/pondridge/grpc/MethodTable.java
@@ -23,7 +23,8 @@
     Method byTarget(int requestClass, String path) {
         Method best = null;
         for (Method each : all) {
-            if (each.requestClass() == requestClass && each.fits(path)
+            if (each.requestClass() == requestClass
+                    && each.fits(path)
                     && (best == null || each.uri().length() > best.uri().length())) {
                 best = each;
             }
--- a/src/main/java/pondridge/grpc/UnaryMessage.java
+++ b/src/main/java/pondridge/grpc/UnaryMessage.java
@@ -18,7 +18,7 @@
         }
     }
 
-    private UnaryMessage() { }
+    private UnaryMessage() {}
 
     /**
      * Reads exactly one message.
@@ -39,7 +39,7 @@
             case MORE -> {
                 return Read.failed(GrpcCode.INTERNAL, reader.within() ? "message cut short" : "no message");
             }
-            default -> { }
+            default -> {}
         }
         if (taken < bytes.length) {
             return Read.failed(GrpcCode.INTERNAL, "more than one message");
@@ -53,8 +53,7 @@
         try (GZIPInputStream in = new GZIPInputStream(new ByteArrayInputStream(reader.take()))) {
             byte[] message = in.readNBytes(most + 1);
             return message.length > most
-                    ? Read.failed(GrpcCode.RESOURCE_EXHAUSTED, "message larger than " + most
-                            + " bytes inflated")
+                    ? Read.failed(GrpcCode.RESOURCE_EXHAUSTED, "message larger than " + most + " bytes inflated")
                     : new Read(message, GrpcCode.OK, "");
         } catch (IOException e) {
             return Read.failed(GrpcCode.INTERNAL, "can't be inflated");
--- a/src/main/java/pondridge/grpc/Verdict.java
+++ b/src/main/java/pondridge/grpc/Verdict.java
@@ -19,7 +19,7 @@
      * @param passedOn codes other than OK that are the application's answer, and final
      * @param most bytes of a message
      */
-    record Rules(Set<GrpcCode> declines, String mark, Set<GrpcCode> passedOn, int most) { }
+    record Rules(Set<GrpcCode> declines, String mark, Set<GrpcCode> passedOn, int most) {}
 
     /**
      * An answer as it came.
@@ -31,8 +31,13 @@
      * @param headOnly nothing came but a head
      * @param marked the decline's mark is there
      */
-    record Came(CharSequence contentType, CharSequence coding, CharSequence status, boolean headOnly,
-            boolean marked, byte[] body) { }
+    record Came(
+            CharSequence contentType,
+            CharSequence coding,
+            CharSequence status,
+            boolean headOnly,
+            boolean marked,
+            byte[] body) {}
 
     private static final Verdict FAILED = new Verdict(Outcome.ERROR, null, null);
 
@@ -49,18 +54,19 @@
         if (came.headOnly && rules.declines.contains(code) && (rules.mark.isEmpty() || came.marked)) {
             return new Verdict(Outcome.REJECTED, null, code);
         }
-        return rules.passedOn.contains(code) ? new Verdict(Outcome.OK, new byte[0], code)
+        return rules.passedOn.contains(code)
+                ? new Verdict(Outcome.OK, new byte[0], code)
                 : new Verdict(Outcome.ERROR, null, code);
     }
 
     /** Whether a content type is one of gRPC's. */
     static boolean isGrpc(CharSequence type) {
         String base = "application/grpc";
-        if (type == null || type.length() < base.length()
+        if (type == null
+                || type.length() < base.length()
                 || !base.equalsIgnoreCase(type.subSequence(0, base.length()).toString())) {
             return false;
         }
-        return type.length() == base.length() || type.charAt(base.length()) == '+'
-                || type.charAt(base.length()) == ';';
+        return type.length() == base.length() || type.charAt(base.length()) == '+' || type.charAt(base.length()) == ';';
     }
 }
--- a/src/main/java/pondridge/http1/Frontend.java
+++ b/src/main/java/pondridge/http1/Frontend.java
@@ -66,6 +66,7 @@
     private static final int LINGER_BYTES = 1 << 20;
     /** A request's id is held to be in use for a while after its answer: clients never use one again. */
     private static final long ID_TIME = 2_000_000_000L;
+
     private static final long SWEEP_MS = 100;
     /** So many are let in at a time: till the next turn those that make room keep their descriptors, too. */
     private static final int ACCEPTS = 4;
@@ -76,14 +77,16 @@
     private static final int WAITING = LARGEST_BODY;
     /** So much where there is room for it in all; a client that sends more is ended. */
     private static final int MOST_WAITING = 4 << 20;
+
     private static final int WAITING_IN_ALL = 8 << 20;
     /** What a request's head counts as in that, beside its path, and what each part of one does. */
     private static final int HEAD_BYTES = 2048;
+
     private static final int PART_BYTES = 256;
 
-    private record Past(String id, long at) { }
+    private record Past(String id, long at) {}
 
-    private record Waiting(HttpObject message, long since) { }
+    private record Waiting(HttpObject message, long since) {}
 
     private final Requests engine;
     private final JobReader reader;
@@ -110,10 +113,13 @@
      * where it failed.
      */
     public ChannelFuture listen(EventLoopGroup group, InetSocketAddress address) {
-        ChannelFuture bound = new ServerBootstrap().group(group).channel(NioServerSocketChannel.class)
+        ChannelFuture bound = new ServerBootstrap()
+                .group(group)
+                .channel(NioServerSocketChannel.class)
                 .option(ChannelOption.SO_BACKLOG, 1024)
                 .option(ChannelOption.SO_REUSEADDR, true)
-                .option(ChannelOption.RECVBUF_ALLOCATOR,
+                .option(
+                        ChannelOption.RECVBUF_ALLOCATOR,
                         new ServerChannelRecvByteBufAllocator().maxMessagesPerRead(ACCEPTS))
                 .childOption(ChannelOption.TCP_NODELAY, true)
                 .childHandler(new ChannelInitializer<Channel>() {
@@ -125,16 +131,17 @@
                             return;
                         }
                         Connection connection = new Connection(made);
-                        made.pipeline().addLast(new Unread(), new HttpResponseEncoder(),
-                                connection.new Decoder(), connection);
+                        made.pipeline()
+                                .addLast(new Unread(), new HttpResponseEncoder(), connection.new Decoder(), connection);
                     }
                 })
                 .bind(address);
         server = bound.channel();
         bound.addListener(done -> {
             if (done.isSuccess()) {
-                bound.channel().eventLoop().scheduleWithFixedDelay(this::sweep, SWEEP_MS, SWEEP_MS,
-                        TimeUnit.MILLISECONDS);
+                bound.channel()
+                        .eventLoop()
+                        .scheduleWithFixedDelay(this::sweep, SWEEP_MS, SWEEP_MS, TimeUnit.MILLISECONDS);
             }
         });
         return bound;
@@ -178,7 +185,8 @@
 
     /** Closes the connection that is missed least; false if each holds a whole request. */
     private boolean makeRoom() {
-        for (var least = connections.leastMissed(System.nanoTime()); least != null;
+        for (var least = connections.leastMissed(System.nanoTime());
+                least != null;
                 least = connections.leastMissed(System.nanoTime())) {
             if (least.connection.closeIfQuiet("to make room")) {
                 return true;
@@ -202,9 +210,11 @@
          * client has left, and its requests would be sent on one after the other.
          */
         private final ArrayDeque<Waiting> waiting = new ArrayDeque<>(1);
+
         private int held;
         /** How long ago what is being taken has come. */
         private long waited;
+
         private final ConnectionTable.Entry<Connection> entry;
         private int lingered;
         private Job job;
@@ -289,7 +299,9 @@
 
         private void close(String reason) {
             if (log != RequestLog.NONE) {
-                log.connectionClosed(String.valueOf(channel.remoteAddress()), reason,
+                log.connectionClosed(
+                        String.valueOf(channel.remoteAddress()),
+                        reason,
                         entry.state().toString());
             }
             // Its end is told later in the turn; until then it would make room for all that come in between.
@@ -363,8 +375,8 @@
             if (HttpUtil.getContentLength(head, 0L) > LARGEST_BODY) {
                 reject(HttpResponseStatus.REQUEST_ENTITY_TOO_LARGE, "body too large");
             } else if (HttpUtil.is100ContinueExpected(head)) {
-                channel.writeAndFlush(new DefaultFullHttpResponse(HttpVersion.HTTP_1_1,
-                        HttpResponseStatus.CONTINUE, Unpooled.EMPTY_BUFFER));
+                channel.writeAndFlush(new DefaultFullHttpResponse(
+                        HttpVersion.HTTP_1_1, HttpResponseStatus.CONTINUE, Unpooled.EMPTY_BUFFER));
             }
         }
 
@@ -400,8 +412,8 @@
 
         @Override
         public void served(Answer answer) {
-            FullHttpResponse response = new DefaultFullHttpResponse(HttpVersion.HTTP_1_1,
-                    HttpResponseStatus.OK, Unpooled.wrappedBuffer(answer.body()));
+            FullHttpResponse response = new DefaultFullHttpResponse(
+                    HttpVersion.HTTP_1_1, HttpResponseStatus.OK, Unpooled.wrappedBuffer(answer.body()));
             response.headers().set(answer.headers());
             answer(response);
         }
@@ -410,8 +422,12 @@
         public void refused(long wait) {
             FullHttpResponse response = plain(HttpResponseStatus.SERVICE_UNAVAILABLE, "refused");
             if (wait > 0) {
-                response.headers().set(HttpHeaderNames.RETRY_AFTER,
-                        BigDecimal.valueOf(wait, 9).setScale(3, RoundingMode.UP).toPlainString());
+                response.headers()
+                        .set(
+                                HttpHeaderNames.RETRY_AFTER,
+                                BigDecimal.valueOf(wait, 9)
+                                        .setScale(3, RoundingMode.UP)
+                                        .toPlainString());
             }
             answer(response);
         }
@@ -525,8 +541,11 @@
     }
 
     private static int size(HttpObject message) {
-        int head = message instanceof HttpRequest request ? HEAD_BYTES + request.uri().length() : 0;
-        return PART_BYTES + head
+        int head = message instanceof HttpRequest request
+                ? HEAD_BYTES + request.uri().length()
+                : 0;
+        return PART_BYTES
+                + head
                 + (message instanceof HttpContent content ? content.content().readableBytes() : 0);
     }
 
@@ -534,13 +553,14 @@
         if (cause instanceof TooLongHttpHeaderException) {
             return HttpResponseStatus.REQUEST_HEADER_FIELDS_TOO_LARGE;
         }
-        return cause instanceof TooLongHttpLineException ? HttpResponseStatus.REQUEST_URI_TOO_LONG
+        return cause instanceof TooLongHttpLineException
+                ? HttpResponseStatus.REQUEST_URI_TOO_LONG
                 : HttpResponseStatus.BAD_REQUEST;
     }
 
     private static FullHttpResponse plain(HttpResponseStatus status, String text) {
-        FullHttpResponse response = new DefaultFullHttpResponse(HttpVersion.HTTP_1_1, status,
-                Unpooled.copiedBuffer(text, StandardCharsets.UTF_8));
+        FullHttpResponse response = new DefaultFullHttpResponse(
+                HttpVersion.HTTP_1_1, status, Unpooled.copiedBuffer(text, StandardCharsets.UTF_8));
         response.headers().set(HttpHeaderNames.CONTENT_TYPE, HttpHeaderValues.TEXT_PLAIN);
         return response;
     }
@@ -552,15 +572,15 @@
         if (message.protocolVersion().majorVersion() != 1 || coded && !Headers.onlyChunked(message)) {
             throw new IllegalArgumentException("version or transfer coding not supported");
         }
-        if (!message.method().equals(HttpMethod.POST)
-                && (coded || HttpUtil.getContentLength(message, 0L) > 0)) {
+        if (!message.method().equals(HttpMethod.POST) && (coded || HttpUtil.getContentLength(message, 0L) > 0)) {
             throw new IllegalArgumentException("body where none belongs");
         }
         if (!message.uri().chars().allMatch(each -> each > ' ' && each < 0x7f)) {
             throw new IllegalArgumentException("path can't be read");
         }
         for (String name : headers.names()) {
-            boolean once = name.regionMatches(true, 0, "Req-", 0, 4) || name.equalsIgnoreCase(JobReader.KEY)
+            boolean once = name.regionMatches(true, 0, "Req-", 0, 4)
+                    || name.equalsIgnoreCase(JobReader.KEY)
                     || name.equalsIgnoreCase("Host");
             if (once && headers.getAll(name).size() > 1) {
                 throw new IllegalArgumentException("repeated " + name);
--- a/src/main/java/pondridge/http1/Upstreams.java
+++ b/src/main/java/pondridge/http1/Upstreams.java
@@ -61,6 +61,7 @@
     private static final int LARGEST_ANSWER = 1 << 20;
     /** Some answers come behind interim ones; more than a few are no way to an answer. */
     private static final int MOST_INTERIM = 16;
+
     private static final long PROBE_TIMEOUT = 250_000_000;
     private static final AsciiString DEADLINE = AsciiString.cached("Req-Deadline-Ms");
     /** However soon upstreams close: the loop must have time for anything else. */
@@ -71,6 +72,7 @@
      * one. Elsewhere that would only cost connections.
      */
     private static final long SETTLING = 25_000_000;
+
     private static final long WARY = 60_000_000_000L;
 
     private final EventLoop loop;
@@ -81,6 +83,7 @@
     private final Map<Long, Pool> pools = new HashMap<>();
     /** Stands for every upstream that is not listed. */
     private final Pool nobody = new Pool();
+
     private final Future<?> retirement;
     private int connections;
     /** When something came that was not asked for; 0 if nothing has. */
@@ -134,8 +137,8 @@
     }
 
     private static FullHttpRequest message(Job job) {
-        FullHttpRequest request = new DefaultFullHttpRequest(HttpVersion.HTTP_1_1, job.method(), job.uri(),
-                Unpooled.wrappedBuffer(job.body()));
+        FullHttpRequest request = new DefaultFullHttpRequest(
+                HttpVersion.HTTP_1_1, job.method(), job.uri(), Unpooled.wrappedBuffer(job.body()));
         Headers.copyEndToEnd(job.headers(), request.headers());
         // The time left is set when it is written: the connection may come up late.
         request.headers().set(DEADLINE, 0);
@@ -168,8 +171,7 @@
 
     @Override
     public void probe(long upstream, Listener listener) {
-        FullHttpRequest request = new DefaultFullHttpRequest(HttpVersion.HTTP_1_1, HttpMethod.GET,
-                reports.probePath());
+        FullHttpRequest request = new DefaultFullHttpRequest(HttpVersion.HTTP_1_1, HttpMethod.GET, reports.probePath());
         request.headers().set(HttpHeaderNames.HOST, "app.svc");
         send(upstream, request, PROBE_TIMEOUT, listener);
     }
@@ -228,7 +230,7 @@
          */
         Connection take(long now) {
             long settling = strayAt != 0 && now - strayAt < WARY ? SETTLING : 0;
-            for (Iterator<Connection> each = idle.descendingIterator(); each.hasNext();) {
+            for (Iterator<Connection> each = idle.descendingIterator(); each.hasNext(); ) {
                 Connection next = each.next();
                 if (now - next.idleSince >= keepIdle) {
                     return null;
@@ -285,6 +287,7 @@
         private final Listener listener;
         /** By {@link System#nanoTime}: from then on nobody waits for its answer. */
         private final long until;
+
         private Connection connection;
         private Future<?> timer;
         private boolean written;
@@ -424,7 +427,9 @@
         void open(Sending first) {
             current = first;
             first.connection = this;
-            new Bootstrap().group(loop).channel(NioSocketChannel.class)
+            new Bootstrap()
+                    .group(loop)
+                    .channel(NioSocketChannel.class)
                     .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, connectTimeoutMs)
                     .option(ChannelOption.TCP_NODELAY, true)
                     .handler(new ChannelInitializer<Channel>() {
@@ -479,7 +484,10 @@
 
         @Override
         protected void channelRead0(ChannelHandlerContext context, HttpObject message) {
-            if (current == null || current.over || whole || message.decoderResult().isFailure()) {
+            if (current == null
+                    || current.over
+                    || whole
+                    || message.decoderResult().isFailure()) {
                 spoilt();
                 return;
             }
@@ -509,9 +517,9 @@
             }
             HttpHeaders given = response.headers();
             boolean bounded = given.contains(HttpHeaderNames.TRANSFER_ENCODING)
-                    ? Headers.onlyChunked(response) : HttpUtil.getContentLength(response, -1L) >= 0;
-            if (!bounded && code != 204 && code != 304
-                    || HttpUtil.getContentLength(response, 0L) > LARGEST_ANSWER) {
+                    ? Headers.onlyChunked(response)
+                    : HttpUtil.getContentLength(response, -1L) >= 0;
+            if (!bounded && code != 204 && code != 304 || HttpUtil.getContentLength(response, 0L) > LARGEST_ANSWER) {
                 return false;
             }
             try {
@@ -532,16 +540,20 @@
             }
             Sending attempt = current;
             HttpResponse response = head;
-            Outcome outcome = attempt.written || response.status().code() != 200 ? outcome(response)
-                    : Outcome.ERROR;
+            Outcome outcome = attempt.written || response.status().code() != 200 ? outcome(response) : Outcome.ERROR;
             ByteArrayOutputStream came = body;
-            float[] load = reports.read(response.headers().get(LoadReports.HEADER), attempt.request.uri(),
+            float[] load = reports.read(
+                    response.headers().get(LoadReports.HEADER),
+                    attempt.request.uri(),
                     () -> came.toString(StandardCharsets.UTF_8));
-            Answer answer = outcome == Outcome.OK ? new Answer(headers, body.toByteArray())
-                    : null;
+            Answer answer = outcome == Outcome.OK ? new Answer(headers, body.toByteArray()) : null;
             strayAt = decoder.holds() ? System.nanoTime() : strayAt;
-            boolean reusable = HttpUtil.isKeepAlive(response) && attempt.written
-                    && renewals == pool.renewals && !soiled && !decoder.holds() && channel.isActive();
+            boolean reusable = HttpUtil.isKeepAlive(response)
+                    && attempt.written
+                    && renewals == pool.renewals
+                    && !soiled
+                    && !decoder.holds()
+                    && channel.isActive();
             current = null;
             head = null;
             headers = null;
@@ -597,7 +609,7 @@
     }
 
     private static Outcome outcome(HttpResponse response) {
-        return Evidence.ofAnswer(response.status().code(),
-                "1".equals(response.headers().get(Evidence.DECLINED)));
+        return Evidence.ofAnswer(
+                response.status().code(), "1".equals(response.headers().get(Evidence.DECLINED)));
     }
 }
--- a/src/main/java/pondridge/http2/Connection.java
+++ b/src/main/java/pondridge/http2/Connection.java
@@ -42,9 +42,11 @@
     private static final AsciiString DECLINED = AsciiString.cached(Evidence.DECLINED.toLowerCase());
     /** A header block may come in many small frames, but not in any number (CVE-2024-27316 and its kin). */
     private static final int MOST_SMALL_CONTINUATIONS = 16;
+
     private static final int DEFAULT_WINDOW = 65_535;
     /** Window updates that one request may bring about: for its headers, its body, its stream. */
     private static final int EXPLAINED = 8;
+
     private static final long SECOND = 1_000_000_000;
 
     private final ServerPool pool;
@@ -144,11 +146,10 @@
                 apply(table.unsendable(id));
             }
         });
-        handler.encoder().writeHeaders(context, id, pool.wording().head(attempt.job(), attempt.left(now)), 0,
-                whole, head);
+        handler.encoder()
+                .writeHeaders(context, id, pool.wording().head(attempt.job(), attempt.left(now)), 0, whole, head);
         if (!whole && table.attempt(id) != null) {
-            handler.encoder().writeData(context, id, Unpooled.wrappedBuffer(body), 0, true,
-                    context.newPromise());
+            handler.encoder().writeData(context, id, Unpooled.wrappedBuffer(body), 0, true, context.newPromise());
         }
         flush();
     }
@@ -200,7 +201,7 @@
                 flush();
             }
             case DEAD -> close();
-            default -> { }
+            default -> {}
         }
         closeIfDone();
     }
@@ -211,8 +212,7 @@
             return;
         }
         if (context != null && idle() && channel.isActive()) {
-            handler.goAway(context, 0, Http2Error.NO_ERROR.code(), Unpooled.EMPTY_BUFFER,
-                    context.newPromise());
+            handler.goAway(context, 0, Http2Error.NO_ERROR.code(), Unpooled.EMPTY_BUFFER, context.newPromise());
             handler.flush(context);
         }
         channel.close();
@@ -295,20 +295,25 @@
     }
 
     @Override
-    public void onHeadersRead(ChannelHandlerContext ctx, int id, Http2Headers headers, int dependency,
-            short weight, boolean exclusive, int padding, boolean end) {
+    public void onHeadersRead(
+            ChannelHandlerContext ctx,
+            int id,
+            Http2Headers headers,
+            int dependency,
+            short weight,
+            boolean exclusive,
+            int padding,
+            boolean end) {
         onHeadersRead(ctx, id, headers, padding, end);
     }
 
     @Override
-    public void onHeadersRead(ChannelHandlerContext ctx, int id, Http2Headers headers, int padding,
-            boolean end) {
+    public void onHeadersRead(ChannelHandlerContext ctx, int id, Http2Headers headers, int padding, boolean end) {
         Sending attempt = table.attempt(id);
         int status = Messages.status(headers);
         if (attempt != null && attempt.body() == null && status >= 200) {
             HttpHeaders through = Messages.answer(headers);
-            if (through == null
-                    || headers.getLong(HttpHeaderNames.CONTENT_LENGTH, 0) > options.answerBytes()) {
+            if (through == null || headers.getLong(HttpHeaderNames.CONTENT_LENGTH, 0) > options.answerBytes()) {
                 apply(table.spoilt(id));
                 return;
             }
@@ -366,14 +371,12 @@
     }
 
     @Override
-    public void onPriorityRead(ChannelHandlerContext ctx, int id, int dependency, short weight,
-            boolean exclusive) {
+    public void onPriorityRead(ChannelHandlerContext ctx, int id, int dependency, short weight, boolean exclusive) {
         control();
     }
 
     @Override
-    public void onUnknownFrame(ChannelHandlerContext ctx, byte type, int id, Http2Flags flags,
-            ByteBuf payload) {
+    public void onUnknownFrame(ChannelHandlerContext ctx, byte type, int id, Http2Flags flags, ByteBuf payload) {
         control();
     }
 
@@ -384,22 +387,29 @@
 
     private void control() {
         if (!broken && !floods.admit(System.nanoTime())) {
-            handler.onError(context, false, Http2Exception.connectionError(Http2Error.ENHANCE_YOUR_CALM,
-                    "too many control frames"));
+            handler.onError(
+                    context,
+                    false,
+                    Http2Exception.connectionError(Http2Error.ENHANCE_YOUR_CALM, "too many control frames"));
         }
     }
 
     /** Tells the table when a request's last frame goes to the socket, and if it never got there. */
     private final class Writer extends DefaultHttp2FrameWriter {
         @Override
-        public ChannelFuture writeData(ChannelHandlerContext ctx, int id, ByteBuf data, int padding,
-                boolean end, ChannelPromise promise) {
+        public ChannelFuture writeData(
+                ChannelHandlerContext ctx, int id, ByteBuf data, int padding, boolean end, ChannelPromise promise) {
             return super.writeData(ctx, id, data, padding, end, end ? handed(id, promise) : promise);
         }
 
         @Override
-        public ChannelFuture writeHeaders(ChannelHandlerContext ctx, int id, Http2Headers headers,
-                int padding, boolean end, ChannelPromise promise) {
+        public ChannelFuture writeHeaders(
+                ChannelHandlerContext ctx,
+                int id,
+                Http2Headers headers,
+                int padding,
+                boolean end,
+                ChannelPromise promise) {
             return super.writeHeaders(ctx, id, headers, padding, end, end ? handed(id, promise) : promise);
         }
 
@@ -430,8 +440,9 @@
             reached = true;
             super.channelActive(ctx);
             if (options.connectionWindow() > DEFAULT_WINDOW) {
-                streams.local().flowController().incrementWindowSize(streams.connectionStream(),
-                        options.connectionWindow() - DEFAULT_WINDOW);
+                streams.local()
+                        .flowController()
+                        .incrementWindowSize(streams.connectionStream(), options.connectionWindow() - DEFAULT_WINDOW);
             }
             flush(ctx);
         }
@@ -443,10 +454,10 @@
         }
 
         @Override
-        protected void onStreamError(ChannelHandlerContext ctx, boolean outbound, Throwable cause,
-                Http2Exception.StreamException error) {
-            StreamTable.End<Sending> end = outbound ? table.unsendable(error.streamId())
-                    : table.spoilt(error.streamId());
+        protected void onStreamError(
+                ChannelHandlerContext ctx, boolean outbound, Throwable cause, Http2Exception.StreamException error) {
+            StreamTable.End<Sending> end =
+                    outbound ? table.unsendable(error.streamId()) : table.spoilt(error.streamId());
             table.closed(error.streamId());
             super.onStreamError(ctx, outbound, cause, error);
             if (end != null) {
@@ -456,8 +467,8 @@
         }
 
         @Override
-        protected void onConnectionError(ChannelHandlerContext ctx, boolean outbound, Throwable cause,
-                Http2Exception error) {
+        protected void onConnectionError(
+                ChannelHandlerContext ctx, boolean outbound, Throwable cause, Http2Exception error) {
             if (broken) {
                 return;
             }
@@ -491,20 +502,24 @@
         @Override
         protected Handler build() {
             Http2ConnectionEncoder encoder = new DefaultHttp2ConnectionEncoder(streams, new Writer());
-            Http2ConnectionDecoder decoder = new DefaultHttp2ConnectionDecoder(streams, encoder,
-                    new DefaultHttp2FrameReader(new DefaultHttp2HeadersDecoder(true, options.headerBytes()),
-                            MOST_SMALL_CONTINUATIONS));
+            Http2ConnectionDecoder decoder = new DefaultHttp2ConnectionDecoder(
+                    streams,
+                    encoder,
+                    new DefaultHttp2FrameReader(
+                            new DefaultHttp2HeadersDecoder(true, options.headerBytes()), MOST_SMALL_CONTINUATIONS));
             codec(decoder, encoder);
-            initialSettings(Http2Settings.defaultSettings().pushEnabled(false)
-                    .initialWindowSize(options.streamWindow()).maxHeaderListSize(options.headerBytes()));
+            initialSettings(Http2Settings.defaultSettings()
+                    .pushEnabled(false)
+                    .initialWindowSize(options.streamWindow())
+                    .maxHeaderListSize(options.headerBytes()));
             frameListener(Connection.this);
             gracefulShutdownTimeoutMillis(0);
             return super.build();
         }
 
         @Override
-        protected Handler build(Http2ConnectionDecoder decoder, Http2ConnectionEncoder encoder,
-                Http2Settings settings) {
+        protected Handler build(
+                Http2ConnectionDecoder decoder, Http2ConnectionEncoder encoder, Http2Settings settings) {
             return new Handler(decoder, encoder, settings);
         }
     }
--- a/src/main/java/pondridge/http2/Door.java
+++ b/src/main/java/pondridge/http2/Door.java
@@ -56,8 +56,16 @@
      * @param age after which one is asked to leave, give or take a tenth; 0 for never
      * @param grace how long one that was asked to leave may stay, for what is open on it
      */
-    public record Limits(InetSocketAddress listen, int connections, int streams, long idle, int headerBytes,
-            int controlFrames, long heldBytes, long age, long grace) { }
+    public record Limits(
+            InetSocketAddress listen,
+            int connections,
+            int streams,
+            long idle,
+            int headerBytes,
+            int controlFrames,
+            long heldBytes,
+            long age,
+            long grace) {}
 
     /** Told what an operator should know, at whatever rate it happens. */
     @FunctionalInterface
@@ -85,8 +93,14 @@
      * @param tls makes the handler that goes below HTTP/2; null for none
      * @param streams puts its handlers into the pipeline of a stream that was opened by the other side
      */
-    public Door(EventLoop loop, Limits limits, String name, Function<Channel, ChannelHandler> tls,
-            Events events, LongSupplier clock, BiConsumer<Channel, HeldBytes.Share> streams) {
+    public Door(
+            EventLoop loop,
+            Limits limits,
+            String name,
+            Function<Channel, ChannelHandler> tls,
+            Events events,
+            LongSupplier clock,
+            BiConsumer<Channel, HeldBytes.Share> streams) {
         this.loop = loop;
         this.limits = limits;
         this.name = name;
@@ -99,7 +113,9 @@
 
     /** Opens it. */
     public ChannelFuture listen() {
-        ChannelFuture bound = new ServerBootstrap().group(loop).channel(NioServerSocketChannel.class)
+        ChannelFuture bound = new ServerBootstrap()
+                .group(loop)
+                .channel(NioServerSocketChannel.class)
                 .option(ChannelOption.SO_REUSEADDR, true)
                 .childOption(ChannelOption.TCP_NODELAY, true)
                 .childHandler(new ChannelInitializer<Channel>() {
@@ -128,12 +144,14 @@
     }
 
     private void leave(Channel channel) {
-        channel.writeAndFlush(new DefaultHttp2GoAwayFrame(Http2Error.NO_ERROR)
-                .setExtraStreamIds(Integer.MAX_VALUE));
-        loop.schedule(() -> {
-            channel.writeAndFlush(new DefaultHttp2GoAwayFrame(Http2Error.NO_ERROR));
-            closeWhenDone(channel, clock.getAsLong() + limits.grace());
-        }, PAIR, TimeUnit.NANOSECONDS);
+        channel.writeAndFlush(new DefaultHttp2GoAwayFrame(Http2Error.NO_ERROR).setExtraStreamIds(Integer.MAX_VALUE));
+        loop.schedule(
+                () -> {
+                    channel.writeAndFlush(new DefaultHttp2GoAwayFrame(Http2Error.NO_ERROR));
+                    closeWhenDone(channel, clock.getAsLong() + limits.grace());
+                },
+                PAIR,
+                TimeUnit.NANOSECONDS);
     }
 
     private void closeWhenDone(Channel channel, long until) {
@@ -165,8 +183,8 @@
         made.closeFuture().addListener(closed -> in.remove(made));
         if (limits.age() > 0) {
             // Not all at once: those that came together would all come again together.
-            Future<?> old = loop.schedule(() -> leave(made),
-                    (long) (limits.age() * (0.9 + 0.2 * random.nextDouble())), TimeUnit.NANOSECONDS);
+            Future<?> old = loop.schedule(
+                    () -> leave(made), (long) (limits.age() * (0.9 + 0.2 * random.nextDouble())), TimeUnit.NANOSECONDS);
             made.closeFuture().addListener(closed -> old.cancel(false));
         }
         made.pipeline().addLast(new Unread());
@@ -174,21 +192,22 @@
             made.pipeline().addLast(tls.apply(made));
         }
         HeldBytes.Share share = bytes.share();
-        made.pipeline().addLast(
-                new IdleStateHandler(limits.idle(), 0, 0, TimeUnit.NANOSECONDS),
-                Http2FrameCodecBuilder.forServer()
-                        .decoderEnforceMaxRstFramesPerWindow(RESETS, RESETS_SECONDS)
-                        .initialSettings(Http2Settings.defaultSettings()
-                                .maxConcurrentStreams(limits.streams())
-                                .maxHeaderListSize(limits.headerBytes()))
-                        .build(),
-                new Http2MultiplexHandler(new ChannelInitializer<Channel>() {
-                    @Override
-                    protected void initChannel(Channel stream) {
-                        streams.accept(stream, share);
-                    }
-                }),
-                new Watch());
+        made.pipeline()
+                .addLast(
+                        new IdleStateHandler(limits.idle(), 0, 0, TimeUnit.NANOSECONDS),
+                        Http2FrameCodecBuilder.forServer()
+                                .decoderEnforceMaxRstFramesPerWindow(RESETS, RESETS_SECONDS)
+                                .initialSettings(Http2Settings.defaultSettings()
+                                        .maxConcurrentStreams(limits.streams())
+                                        .maxHeaderListSize(limits.headerBytes()))
+                                .build(),
+                        new Http2MultiplexHandler(new ChannelInitializer<Channel>() {
+                            @Override
+                            protected void initChannel(Channel stream) {
+                                streams.accept(stream, share);
+                            }
+                        }),
+                        new Watch());
     }
 
     /** Ends connections that are no use, or that may not go on. */
--- a/src/main/java/pondridge/http2/HeldBytes.java
+++ b/src/main/java/pondridge/http2/HeldBytes.java
@@ -30,7 +30,7 @@
     public final class Share {
         private long its;
 
-        private Share() { }
+        private Share() {}
 
         /** Whether anything more may come by this connection. */
         public boolean room() {
--- a/src/main/java/pondridge/http2/Http2Options.java
+++ b/src/main/java/pondridge/http2/Http2Options.java
@@ -23,9 +23,22 @@
  * @param redial after a connection that came to nothing, how long no other is opened; up to 16 times as long
  *     after several in a row
  */
-public record Http2Options(int connectionsPerServer, int connections, int waiting, long streamWait,
-        long settingsWait, long quiet, long pingWait, int resets, long resetWindow, int controlFrames,
-        int headerBytes, int answerBytes, int answersBytes, int streamWindow, int connectionWindow,
+public record Http2Options(
+        int connectionsPerServer,
+        int connections,
+        int waiting,
+        long streamWait,
+        long settingsWait,
+        long quiet,
+        long pingWait,
+        int resets,
+        long resetWindow,
+        int controlFrames,
+        int headerBytes,
+        int answerBytes,
+        int answersBytes,
+        int streamWindow,
+        int connectionWindow,
         long redial) {
     /** Reads section {@code [http2]}. */
     public static Http2Options of(Section section) {
--- a/src/main/java/pondridge/http2/Http2Upstreams.java
+++ b/src/main/java/pondridge/http2/Http2Upstreams.java
@@ -43,12 +43,13 @@
     private final Map<Long, ServerPool> pools = new HashMap<>();
     /** Pools of upstreams that are listed no more, while something is open there. */
     private final List<ServerPool> leaving = new ArrayList<>();
+
     private final SharedRoom room;
     private final Dialler dialler;
     private final ServerPool nobody;
     private final Future<?> looking;
     private Wording wording = Wording.HTTP;
-    private LongConsumer http1Wanted = upstream -> { };
+    private LongConsumer http1Wanted = upstream -> {};
     private long held;
 
     /** Time-outs for connecting and idleness come from the platform's settings, all else from its own. */
@@ -69,16 +70,18 @@
 
     /** With other rules of proof and another first stream: for tests. */
     Http2Upstreams(EventLoop loop, Options settings, Http2Options options, Proof proof, int firstStream) {
-        this(loop, settings, options, proof, firstStream, (address, timeoutMs, initializer) ->
-                new Bootstrap().group(loop).channel(NioSocketChannel.class)
-                        .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, timeoutMs)
-                        .option(ChannelOption.TCP_NODELAY, true)
-                        .handler(initializer).connect(address));
+        this(loop, settings, options, proof, firstStream, (address, timeoutMs, initializer) -> new Bootstrap()
+                .group(loop)
+                .channel(NioSocketChannel.class)
+                .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, timeoutMs)
+                .option(ChannelOption.TCP_NODELAY, true)
+                .handler(initializer)
+                .connect(address));
     }
 
     /** With other rules of proof, another first stream and another way to sockets: for tests. */
-    Http2Upstreams(EventLoop loop, Options settings, Http2Options options, Proof proof, int firstStream,
-            Dialler dialler) {
+    Http2Upstreams(
+            EventLoop loop, Options settings, Http2Options options, Proof proof, int firstStream, Dialler dialler) {
         this.loop = loop;
         this.options = options;
         this.proof = proof;
@@ -90,8 +93,7 @@
         this.room = new SharedRoom(options.connections());
         this.dialler = dialler;
         this.nobody = new ServerPool(this, options);
-        long step = Math.max(SHORTEST_LOOK,
-                Math.min(LONGEST_LOOK, Math.min(options.quiet(), options.pingWait()) / 4));
+        long step = Math.max(SHORTEST_LOOK, Math.min(LONGEST_LOOK, Math.min(options.quiet(), options.pingWait()) / 4));
         this.looking = loop.scheduleWithFixedDelay(this::look, step, step, TimeUnit.NANOSECONDS);
     }
 
@@ -110,8 +112,7 @@
 
     @Override
     public void listed(long upstream, InetSocketAddress address, long startedMs, boolean ready) {
-        pools.computeIfAbsent(upstream, id -> new ServerPool(this, options))
-                .listed(address, startedMs, ready);
+        pools.computeIfAbsent(upstream, id -> new ServerPool(this, options)).listed(address, startedMs, ready);
     }
 
     @Override
@@ -139,8 +140,11 @@
     @Override
     public void probe(long upstream, Listener listener) {
         HttpHeaders headers = new DefaultHttpHeaders().set(HttpHeaderNames.HOST, "app.svc");
-        send(upstream, new Job(0, 0, 0, 0, 0, false, HttpMethod.GET, reports.probePath(), headers,
-                new byte[0]), PROBE_TIMEOUT, listener);
+        send(
+                upstream,
+                new Job(0, 0, 0, 0, 0, false, HttpMethod.GET, reports.probePath(), headers, new byte[0]),
+                PROBE_TIMEOUT,
+                listener);
     }
 
     @Override
--- a/src/main/java/pondridge/http2/Liveness.java
+++ b/src/main/java/pondridge/http2/Liveness.java
@@ -8,7 +8,11 @@
  */
 final class Liveness {
     /** What is to be done now. */
-    enum Step { NOTHING, PING, DEAD }
+    enum Step {
+        NOTHING,
+        PING,
+        DEAD
+    }
 
     private final long quiet;
     private final long patience;
--- a/src/main/java/pondridge/http2/Messages.java
+++ b/src/main/java/pondridge/http2/Messages.java
@@ -16,7 +16,7 @@
     private static final AsciiString DEADLINE = AsciiString.cached("req-deadline-ms");
     private static final AsciiString HTTP = AsciiString.cached("http");
 
-    private Messages() { }
+    private Messages() {}
 
     /** A request's headers; {@code left} in nanoseconds is what the upstream is told of the time there is. */
     static Http2Headers request(Job job, long left) {
--- a/src/main/java/pondridge/http2/Sending.java
+++ b/src/main/java/pondridge/http2/Sending.java
@@ -1,8 +1,8 @@
 package pondridge.http2;
 
 import io.netty.handler.codec.http.HttpHeaders;
-import io.netty.util.concurrent.Future;
 import io.netty.handler.codec.http2.Http2Headers;
+import io.netty.util.concurrent.Future;
 import java.io.ByteArrayOutputStream;
 import java.nio.charset.StandardCharsets;
 import pondridge.Balancer.Outcome;
@@ -115,13 +115,14 @@
             return;
         }
         Wording.Ended ended = told == Outcome.OK
-                ? wording.answer(job, head, headers, body.toByteArray(), trailers) : new Wording.Ended(told,
-                        null);
+                ? wording.answer(job, head, headers, body.toByteArray(), trailers)
+                : new Wording.Ended(told, null);
         over = true;
         if (timer != null) {
             timer.cancel(false);
         }
-        float[] report = body == null ? LoadReports.NONE
+        float[] report = body == null
+                ? LoadReports.NONE
                 : reports.read(load, job.uri(), () -> body.toString(StandardCharsets.UTF_8));
         body = null;
         listener.ended(ended.outcome(), ended.answer(), report);
--- a/src/main/java/pondridge/http2/ServerPool.java
+++ b/src/main/java/pondridge/http2/ServerPool.java
@@ -99,11 +99,15 @@
             timer.cancel(false);
         }
         timerAt = due;
-        timer = all.loop().schedule(() -> {
-            timer = null;
-            pool.tick(System.nanoTime());
-            arm();
-        }, Math.max(0, due - System.nanoTime()), TimeUnit.NANOSECONDS);
+        timer = all.loop()
+                .schedule(
+                        () -> {
+                            timer = null;
+                            pool.tick(System.nanoTime());
+                            arm();
+                        },
+                        Math.max(0, due - System.nanoTime()),
+                        TimeUnit.NANOSECONDS);
     }
 
     /** Streams may have come free on a connection. */
@@ -130,11 +134,13 @@
 
     @Override
     public void end(Sending attempt, Turned why) {
-        ended(attempt, switch (why) {
-            case SHUT, UNREACHABLE -> Outcome.CONNECT_FAILED;
-            case FULL, STARVED -> Outcome.REJECTED;
-            case NO_ROOM -> Outcome.NEVER_SENT;
-        });
+        ended(
+                attempt,
+                switch (why) {
+                    case SHUT, UNREACHABLE -> Outcome.CONNECT_FAILED;
+                    case FULL, STARVED -> Outcome.REJECTED;
+                    case NO_ROOM -> Outcome.NEVER_SENT;
+                });
     }
 
     @Override
@@ -154,25 +160,31 @@
     @Override
     public Connection dial() {
         Connection made = all.connection(this);
-        all.dialler().dial(address, all.connectTimeoutMs(), new ChannelInitializer<>() {
-            @Override
-            protected void initChannel(Channel socket) {
-                made.made(socket);
-                socket.pipeline().addLast(made.handler());
-            }
-        }).addListener(done -> {
-            if (done.isSuccess()) {
-                Future<?> unheard = all.loop().schedule(() -> {
-                    // No SETTINGS came in time: HTTP/2 is not spoken there, or nobody is there.
-                    if (!made.up()) {
-                        made.close();
+        all.dialler()
+                .dial(address, all.connectTimeoutMs(), new ChannelInitializer<>() {
+                    @Override
+                    protected void initChannel(Channel socket) {
+                        made.made(socket);
+                        socket.pipeline().addLast(made.handler());
                     }
-                }, options.settingsWait(), TimeUnit.NANOSECONDS);
-                made.closed().addListener(closed -> unheard.cancel(false));
-            } else {
-                all.loop().execute(() -> lost(made));
-            }
-        });
+                })
+                .addListener(done -> {
+                    if (done.isSuccess()) {
+                        Future<?> unheard = all.loop()
+                                .schedule(
+                                        () -> {
+                                            // No SETTINGS came in time: HTTP/2 is not spoken there, or nobody is there.
+                                            if (!made.up()) {
+                                                made.close();
+                                            }
+                                        },
+                                        options.settingsWait(),
+                                        TimeUnit.NANOSECONDS);
+                        made.closed().addListener(closed -> unheard.cancel(false));
+                    } else {
+                        all.loop().execute(() -> lost(made));
+                    }
+                });
         return made;
     }
 
--- a/src/main/java/pondridge/http2/StreamTable.java
+++ b/src/main/java/pondridge/http2/StreamTable.java
@@ -18,9 +18,11 @@
 final class StreamTable<T> {
     /** Error codes of RFC 9113, section 7, that are looked at. */
     static final long REFUSED_STREAM = 0x7;
+
     static final long HTTP_1_1_REQUIRED = 0xd;
     /** Some answers come behind interim ones; more than a few are no way to an answer. */
     static final int MOST_INTERIM = 16;
+
     private static final int LAST_ID = Integer.MAX_VALUE;
 
     /**
@@ -29,7 +31,7 @@
      * @param open the upstream still has the stream open: it is to be reset, as often as that may be done
      * @param unsent the request has not wholly left; what is proven holds only if the stream is reset now
      */
-    record End<T>(T attempt, int stream, Outcome outcome, boolean open, boolean unsent) { }
+    record End<T>(T attempt, int stream, Outcome outcome, boolean open, boolean unsent) {}
 
     /** One stream; {@code attempt} is null once it has ended. */
     private static final class Stream<T> {
@@ -186,7 +188,8 @@
 
     private End<T> whole(Stream<T> stream) {
         // A 200 for what has not wholly left can't be an answer to it.
-        Outcome outcome = stream.status == 200 && !stream.handed ? Outcome.ERROR
+        Outcome outcome = stream.status == 200 && !stream.handed
+                ? Outcome.ERROR
                 : Evidence.ofAnswer(stream.status, stream.declined);
         if (stream.handed) {
             streams.remove(stream.id);
@@ -197,8 +200,7 @@
     /** The upstream has reset the stream (section 6.4); after a whole answer it is no more in the table. */
     End<T> reset(int id, long code) {
         Stream<T> stream = streams.remove(id);
-        return stream == null ? null
-                : end(stream, proof.reset(stream.handed, stream.answering(), code), false);
+        return stream == null ? null : end(stream, proof.reset(stream.handed, stream.answering(), code), false);
     }
 
     /**
@@ -209,7 +211,8 @@
         leaving = true;
         lastStream = Math.min(lastStream, last);
         List<End<T>> ends = new ArrayList<>();
-        Collection<Stream<T>> above = List.copyOf(streams.tailMap(lastStream, false).values());
+        Collection<Stream<T>> above =
+                List.copyOf(streams.tailMap(lastStream, false).values());
         for (Stream<T> stream : above) {
             streams.remove(stream.id);
             add(ends, end(stream, proof.aboveLastStream(stream.answering()), false));
@@ -250,8 +253,7 @@
     /** The attempt's time is up. */
     End<T> late(int id) {
         Stream<T> stream = streams.get(id);
-        return stream == null ? null
-                : end(stream, proof.late(stream.handed, stream.answering()), true);
+        return stream == null ? null : end(stream, proof.late(stream.handed, stream.answering()), true);
     }
 
     /** The attempt is withdrawn. */
@@ -263,7 +265,8 @@
     /** The attempt's request has ended: one that has not wholly left ends now, null where it goes on. */
     End<T> withdrawn(int id) {
         Stream<T> stream = streams.get(id);
-        return stream == null || !proof.unsent(stream.handed, stream.answering()) ? null
+        return stream == null || !proof.unsent(stream.handed, stream.answering())
+                ? null
                 : end(stream, Outcome.NEVER_SENT, true);
     }
 
@@ -274,7 +277,9 @@
 
     /** Streams whose attempts have ended while the upstream still has them open, the oldest first. */
     List<Integer> givenUp() {
-        return streams.values().stream().filter(stream -> stream.attempt == null).map(stream -> stream.id)
+        return streams.values().stream()
+                .filter(stream -> stream.attempt == null)
+                .map(stream -> stream.id)
                 .toList();
     }
 
--- a/src/main/java/pondridge/http2/Wording.java
+++ b/src/main/java/pondridge/http2/Wording.java
@@ -12,7 +12,7 @@
  */
 public interface Wording {
     /** What a whole answer is; the answer is there for {@link Outcome#OK} alone. */
-    record Ended(Outcome outcome, Answer answer) { }
+    record Ended(Outcome outcome, Answer answer) {}
 
     /** HTTP's own. */
     Wording HTTP = new Wording() {
@@ -27,8 +27,7 @@
         }
 
         @Override
-        public Ended answer(Job job, Http2Headers head, HttpHeaders through, byte[] body,
-                Http2Headers trailers) {
+        public Ended answer(Job job, Http2Headers head, HttpHeaders through, byte[] body, Http2Headers trailers) {
             return new Ended(Outcome.OK, new Answer(through, body));
         }
     };
--- a/src/main/java/pondridge/lab/ColdBudget.java
+++ b/src/main/java/pondridge/lab/ColdBudget.java
@@ -9,7 +9,7 @@
  * N + 2, N being the overload factor times its present capacity times that window.
  */
 public final class ColdBudget {
-    private record Got(long at, double requests) { }
+    private record Got(long at, double requests) {}
 
     private final Limits limits;
     private final long startedAt;
--- a/src/main/java/pondridge/lab/Queue.java
+++ b/src/main/java/pondridge/lab/Queue.java
@@ -5,10 +5,10 @@
 
 /** Events by their time; those of one time in the order in which they were put. */
 final class Queue {
-    private record Event(long at, long serial, LongConsumer what) { }
+    private record Event(long at, long serial, LongConsumer what) {}
 
-    private final PriorityQueue<Event> events = new PriorityQueue<>((a, b) ->
-            a.at != b.at ? Long.compare(a.at, b.at) : Long.compare(a.serial, b.serial));
+    private final PriorityQueue<Event> events =
+            new PriorityQueue<>((a, b) -> a.at != b.at ? Long.compare(a.at, b.at) : Long.compare(a.serial, b.serial));
     private long serials;
 
     void at(long at, LongConsumer what) {
--- a/src/main/java/pondridge/platform/Config.java
+++ b/src/main/java/pondridge/platform/Config.java
@@ -15,8 +15,14 @@
 import pondridge.core.Json;
 
 /** What one sidecar is told at its start; a mistake is an exception whose message names the key. */
-public record Config(String name, InetSocketAddress listen, InetSocketAddress discovery, long seed,
-        int sockets, Discovery.Listing known, Options options) {
+public record Config(
+        String name,
+        InetSocketAddress listen,
+        InetSocketAddress discovery,
+        long seed,
+        int sockets,
+        Discovery.Listing known,
+        Options options) {
     private static final int FEWEST_SOCKETS = 64;
     /** The JVM and its libraries hold 35; the others are for letting in, discovery and the configuration. */
     private static final int RESERVED = 48;
@@ -44,10 +50,15 @@
         if (sockets < FEWEST_SOCKETS) {
             throw new IllegalArgumentException("too few: limits.sockets");
         }
-        Discovery.Listing known = root.has("known") ? Discovery.Listing.of(root.get("known"))
-                : Discovery.Listing.NONE;
-        return new Config(root.path("name").asText("sidecar"), address(root, "listen"),
-                address(root, "discovery"), seed(root), sockets, known, options);
+        Discovery.Listing known = root.has("known") ? Discovery.Listing.of(root.get("known")) : Discovery.Listing.NONE;
+        return new Config(
+                root.path("name").asText("sidecar"),
+                address(root, "listen"),
+                address(root, "discovery"),
+                seed(root),
+                sockets,
+                known,
+                options);
     }
 
     /** Whether lists come to an agent on this machine, instead of being asked for. */
@@ -84,8 +95,7 @@
     /** A numeric address and port, or null; names are never looked up, since there is no DNS. */
     public static InetSocketAddress parseAddress(String text) {
         int colon = text.lastIndexOf(':');
-        InetAddress host = colon < 0 ? null : NetUtil.createInetAddressFromIpAddressString(
-                text.substring(0, colon));
+        InetAddress host = colon < 0 ? null : NetUtil.createInetAddressFromIpAddressString(text.substring(0, colon));
         try {
             int port = Integer.parseInt(text.substring(colon + 1));
             return host == null || port < 0 || port > 0xffff ? null : new InetSocketAddress(host, port);
--- a/src/main/java/pondridge/platform/Discovery.java
+++ b/src/main/java/pondridge/platform/Discovery.java
@@ -53,28 +53,37 @@
     private static final long LONGEST_OBJECT_MS = 5_000;
     /** An agent on this machine answers at once; what it learns while a call hangs counts as told at once. */
     private static final long AGENT_SILENCE_MS = 500;
+
     private static final long AGENT_AGAIN_MS = 100;
     private static final int CONNECT_TIMEOUT_MS = 1_000;
     /** What a new service tells counts as told 4 s after its address is configured; a call waits for 2 s. */
     private static final long MOVE_WAIT_MS = 2_000;
+
     private static final int LARGEST_OBJECT = 4 << 20;
 
     /** An entry, or null where it can't be understood. */
     private static Target target(JsonNode node) {
         String uid = node.path("uid").asText("");
-        State state = switch (node.path("state").asText()) {
-            case "SERVING" -> State.READY;
-            case "DRAINING" -> State.DRAINING;
-            case "DELETED" -> State.GONE;
-            default -> null;
-        };
+        State state =
+                switch (node.path("state").asText()) {
+                    case "SERVING" -> State.READY;
+                    case "DRAINING" -> State.DRAINING;
+                    case "DELETED" -> State.GONE;
+                    default -> null;
+                };
         InetSocketAddress endpoint = Config.parseAddress(node.path("endpoint").asText(""));
         if (uid.isEmpty() || state == null || endpoint == null && state != State.GONE) {
             System.err.println("discovery: entry passed over: " + node);
             return null;
         }
-        return new Target(uid, endpoint, node.path("az").asText(""), node.path("model").asText(""),
-                node.path("pod_group").asInt(), state, (float) node.path("capacity_hint").asDouble(1),
+        return new Target(
+                uid,
+                endpoint,
+                node.path("az").asText(""),
+                node.path("model").asText(""),
+                node.path("pod_group").asInt(),
+                state,
+                (float) node.path("capacity_hint").asDouble(1),
                 node.path("boot_ms").asLong());
     }
 
@@ -104,6 +113,7 @@
     private boolean moved;
     /** Where to move once no call waits for its first answer; null if no move is due. */
     private InetSocketAddress nextAddress;
+
     private boolean wanted;
     private boolean slow;
     private Call watch;
@@ -115,7 +125,11 @@
      * @param pushed whether lists are pushed to an agent at this address: see {@link #follow}
      * @param rev version of the list that is known
      */
-    public Discovery(EventLoop loop, InetSocketAddress address, boolean pushed, long rev,
+    public Discovery(
+            EventLoop loop,
+            InetSocketAddress address,
+            boolean pushed,
+            long rev,
             BiConsumer<ListKind, List<Target>> listener) {
         this.loop = loop;
         this.pushed = pushed;
@@ -216,11 +230,14 @@
 
     private void againIfPushed() {
         if (pushed && wanted) {
-            loop.schedule(() -> {
-                if (wanted && watch == null) {
-                    watch(true);
-                }
-            }, AGENT_AGAIN_MS, TimeUnit.MILLISECONDS);
+            loop.schedule(
+                    () -> {
+                        if (wanted && watch == null) {
+                            watch(true);
+                        }
+                    },
+                    AGENT_AGAIN_MS,
+                    TimeUnit.MILLISECONDS);
         }
     }
 
@@ -229,6 +246,7 @@
         private final ObjectCutter cutter = new ObjectCutter();
         /** The version that was known when this call began. */
         private final long from = rev;
+
         private Channel channel;
         private Future<?> silence;
         private boolean begun;
@@ -243,7 +261,9 @@
             calls.add(this);
             log.discoveryAsked(watching, rev);
             heard();
-            new Bootstrap().group(loop).channel(NioSocketChannel.class)
+            new Bootstrap()
+                    .group(loop)
+                    .channel(NioSocketChannel.class)
                     .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, CONNECT_TIMEOUT_MS)
                     .handler(new ChannelInitializer<Channel>() {
                         @Override
@@ -267,10 +287,9 @@
 
         private void ask() {
             String path = "/discovery/hosts" + (watching ? "?watch=1&from=" + rev : "");
-            DefaultFullHttpRequest request = new DefaultFullHttpRequest(HttpVersion.HTTP_1_1, HttpMethod.GET,
-                    path);
-            request.headers().set(HttpHeaderNames.HOST,
-                    address.getAddress().getHostAddress() + ":" + address.getPort());
+            DefaultFullHttpRequest request = new DefaultFullHttpRequest(HttpVersion.HTTP_1_1, HttpMethod.GET, path);
+            request.headers()
+                    .set(HttpHeaderNames.HOST, address.getAddress().getHostAddress() + ":" + address.getPort());
             channel.writeAndFlush(request);
         }
 
@@ -338,8 +357,9 @@
             }
             begun |= message instanceof HttpContent some && some.content().isReadable();
             heard();
-            if (message.decoderResult().isFailure() || message instanceof HttpResponse response
-                    && !response.status().equals(HttpResponseStatus.OK)) {
+            if (message.decoderResult().isFailure()
+                    || message instanceof HttpResponse response
+                            && !response.status().equals(HttpResponseStatus.OK)) {
                 fail(message instanceof HttpResponse response ? "status " + response.status() : "not HTTP");
                 return;
             }
--- a/src/main/java/pondridge/platform/ObjectCutter.java
+++ b/src/main/java/pondridge/platform/ObjectCutter.java
@@ -8,7 +8,12 @@
  */
 final class ObjectCutter {
     /** What a byte has completed. */
-    enum Seen { NOTHING, OBJECT, EMPTY_LINE, NONSENSE }
+    enum Seen {
+        NOTHING,
+        OBJECT,
+        EMPTY_LINE,
+        NONSENSE
+    }
 
     private final ByteArrayOutputStream object = new ByteArrayOutputStream();
     private int depth;
--- a/src/main/java/pondridge/pool/Pool.java
+++ b/src/main/java/pondridge/pool/Pool.java
@@ -23,6 +23,7 @@
 public class Pool<M extends Member, T> {
     /** {@link #due()} when there is nothing to tick for. */
     public static final long NEVER = Long.MAX_VALUE;
+
     private static final int MOST_DOUBLINGS = 4;
 
     /** What a pool orders. */
@@ -47,7 +48,11 @@
     }
 
     /** Where a dialled member stands. */
-    private enum State { OPENING, UP, LEAVING }
+    private enum State {
+        OPENING,
+        UP,
+        LEAVING
+    }
 
     private static final class Seat<M> {
         private final M member;
@@ -60,7 +65,12 @@
     }
 
     /** What {@link #ask} found. */
-    public enum Reach { UP, COMING, SHUT, NOT_NOW }
+    public enum Reach {
+        UP,
+        COMING,
+        SHUT,
+        NOT_NOW
+    }
 
     private final PoolLimits limits;
     private final SharedRoom room;
@@ -68,11 +78,13 @@
     private final List<Seat<M>> seats = new ArrayList<>();
     /** Who waits, and since when, in the order they came. */
     private final Map<T, Long> waiting = new LinkedHashMap<>();
+
     private Seat<M> opening;
     private boolean open;
     private boolean asked;
     /** What the shared room said to the wish that stands there; null if none does. */
     private SharedRoom.Grant wish;
+
     private boolean turning;
     private int misses;
     private long notBefore;
@@ -284,8 +296,7 @@
     /** Closes members that have been idle for longer than this. */
     public final void closeIdle(long longerThan, long now) {
         for (Seat<M> seat : List.copyOf(seats)) {
-            if (seat.state == State.UP && seat.member.idle()
-                    && now - seat.member.idleSince() > longerThan) {
+            if (seat.state == State.UP && seat.member.idle() && now - seat.member.idleSince() > longerThan) {
                 drop(seat);
             }
         }
@@ -314,9 +325,10 @@
         Seat<M> longest = null;
         for (Seat<M> seat : seats) {
             // One with somebody waiting for it is not idle, it is about to be used.
-            if (seat.state == State.UP && seat.member.idle() && (waiting.isEmpty()
-                    || seat.member.credit() == 0) && (longest == null
-                    || seat.member.idleSince() - longest.member.idleSince() < 0)) {
+            if (seat.state == State.UP
+                    && seat.member.idle()
+                    && (waiting.isEmpty() || seat.member.credit() == 0)
+                    && (longest == null || seat.member.idleSince() - longest.member.idleSince() < 0)) {
                 longest = seat;
             }
         }
--- a/src/main/java/pondridge/pool/PoolLimits.java
+++ b/src/main/java/pondridge/pool/PoolLimits.java
@@ -9,4 +9,4 @@
  * @param redial after a member that came to nothing, how long none is dialled; doubled with each in a row, up
  *     to 16 times
  */
-public record PoolLimits(int members, int waiting, long patience, long redial) { }
+public record PoolLimits(int members, int waiting, long patience, long redial) {}
--- a/src/main/java/pondridge/scale/ControlWay.java
+++ b/src/main/java/pondridge/scale/ControlWay.java
@@ -64,29 +64,34 @@
         }
 
         void start() {
-            relay = new ControlRelay(loop, settings(ControlSettings.Role.RELAY, name, at, List.of(sourceAt)),
-                    LOUD, up, down);
+            relay = new ControlRelay(
+                    loop, settings(ControlSettings.Role.RELAY, name, at, List.of(sourceAt)), LOUD, up, down);
             at = relay.start().join();
         }
 
         void kill() {
             loop.submit(() -> {
-                wholes += relay.wholes();
-                differences += relay.differences();
-            }).syncUninterruptibly();
+                        wholes += relay.wholes();
+                        differences += relay.differences();
+                    })
+                    .syncUninterruptibly();
             relay.close();
             relay = null;
         }
 
         Counts counts() {
-            return loop.submit(() -> counts(down, wholes + (relay == null ? 0 : relay.wholes()),
-                    differences + (relay == null ? 0 : relay.differences()),
-                    relay == null ? 0 : (int) relay.sums().count())).syncUninterruptibly().getNow();
+            return loop.submit(() -> counts(
+                            down,
+                            wholes + (relay == null ? 0 : relay.wholes()),
+                            differences + (relay == null ? 0 : relay.differences()),
+                            relay == null ? 0 : (int) relay.sums().count()))
+                    .syncUninterruptibly()
+                    .getNow();
         }
 
         private Counts counts(Traffic traffic, long whole, long difference, int watches) {
-            return new Counts(0, whole, difference, traffic.messagesOut() - whole - difference,
-                    traffic.bytesOut(), watches);
+            return new Counts(
+                    0, whole, difference, traffic.messagesOut() - whole - difference, traffic.bytesOut(), watches);
         }
     }
 
@@ -100,6 +105,7 @@
     private final List<FaultyLink> links = new ArrayList<>();
     /** By the number of a commit, the last of our versions that is in it. */
     private final ConcurrentSkipListMap<Long, Long> commits = new ConcurrentSkipListMap<>();
+
     private final Map<String, Resource> last = new HashMap<>();
     private ControlSource source;
     private InetSocketAddress sourceAt = new InetSocketAddress(LOCAL, 0);
@@ -124,8 +130,10 @@
         for (int i = 0; i < plan.relays(); i++) {
             Place place = new Place("relay-" + i);
             places.add(place);
-            await(() -> place.loop.submit(() -> known(place.relay.client().version().number()) == FIRST)
-                    .syncUninterruptibly().getNow());
+            await(() -> place.loop
+                    .submit(() -> known(place.relay.client().version().number()) == FIRST)
+                    .syncUninterruptibly()
+                    .getNow());
             links.add(new FaultyLink(doors.next(), new InetSocketAddress(LOCAL, 0), place.at, plan.seed()));
         }
     }
@@ -152,20 +160,34 @@
 
     private void startSource() {
         try {
-            source = new ControlSource(loop, settings(ControlSettings.Role.SOURCE, "source", sourceAt,
-                    List.of()), LOUD, fromSource);
+            source = new ControlSource(
+                    loop, settings(ControlSettings.Role.SOURCE, "source", sourceAt, List.of()), LOUD, fromSource);
         } catch (IOException e) {
             throw new UncheckedIOException(e);
         }
         sourceAt = source.start().join();
     }
 
-    private ControlSettings settings(ControlSettings.Role as, String name, InetSocketAddress listen,
-            List<InetSocketAddress> above) {
+    private ControlSettings settings(
+            ControlSettings.Role as, String name, InetSocketAddress listen, List<InetSocketAddress> above) {
         ControlSettings base = plan.control();
-        return new ControlSettings(as, name, listen, folder.resolve("state"), null, above, List.of(),
-                base.serving(), base.choice(), base.silence(), base.stale(), base.fold(), base.report(),
-                base.markers(), base.entries(), base.longestMessage());
+        return new ControlSettings(
+                as,
+                name,
+                listen,
+                folder.resolve("state"),
+                null,
+                above,
+                List.of(),
+                base.serving(),
+                base.choice(),
+                base.silence(),
+                base.stale(),
+                base.fold(),
+                base.report(),
+                base.markers(),
+                base.entries(),
+                base.longestMessage());
     }
 
     private long known(long number) {
@@ -190,8 +212,7 @@
         if (!news) {
             resources.add(new Resource(service(changed.get(0)), "@again", "SET", Long.toString(own)));
         }
-        Runnable put = () -> source.put(resources)
-                .thenAccept(commit -> commits.merge(commit.number(), own, Math::max));
+        Runnable put = () -> source.put(resources).thenAccept(commit -> commits.merge(commit.number(), own, Math::max));
         if (source == null) {
             waiting.add(put);
         } else {
@@ -200,17 +221,20 @@
     }
 
     @Override
-    public Link attach(int follower, EventLoop its, boolean region,
-            BiConsumer<ListKind, List<Target>> listener) {
-        List<InetSocketAddress> above = region ? links.stream().map(FaultyLink::address).toList()
+    public Link attach(int follower, EventLoop its, boolean region, BiConsumer<ListKind, List<Target>> listener) {
+        List<InetSocketAddress> above = region
+                ? links.stream().map(FaultyLink::address).toList()
                 : places.stream().map(each -> each.at).toList();
-        List<String> services = plan.follows() == plan.services() ? List.of()
+        List<String> services = plan.follows() == plan.services()
+                ? List.of()
                 : IntStream.range(0, plan.services())
-                .filter(i -> plan.follows(follower, i)).mapToObj(i -> "s-" + i).toList();
+                        .filter(i -> plan.follows(follower, i))
+                        .mapToObj(i -> "s-" + i)
+                        .toList();
         ControlSettings mine = settings(ControlSettings.Role.FOLLOWER, "f-" + follower, null, above)
                 .as("f-" + follower, services);
-        ControlClient client = new ControlClient(its, mine,
-                (now, kind, targets, others) -> listener.accept(kind, targets), LOUD, new Traffic());
+        ControlClient client = new ControlClient(
+                its, mine, (now, kind, targets, others) -> listener.accept(kind, targets), LOUD, new Traffic());
         return new Link() {
             private Future<?> looks;
             private long told = FIRST - 1;
@@ -238,11 +262,11 @@
 
             /** What changes is told in any case. */
             @Override
-            public void watch(boolean on) { }
+            public void watch(boolean on) {}
 
             /** The list comes by itself. */
             @Override
-            public void fetch() { }
+            public void fetch() {}
 
             @Override
             public void end() {
@@ -273,9 +297,10 @@
     public void killSource(boolean on) {
         if (on) {
             loop.submit(() -> {
-                wholes += source.wholes();
-                differences += source.differences();
-            }).syncUninterruptibly();
+                        wholes += source.wholes();
+                        differences += source.differences();
+                    })
+                    .syncUninterruptibly();
             source.close();
             source = null;
         } else {
@@ -315,11 +340,18 @@
     @Override
     public Counts counts() {
         return loop.submit(() -> {
-            long whole = wholes + (source == null ? 0 : source.wholes());
-            long difference = differences + (source == null ? 0 : source.differences());
-            return new Counts(0, whole, difference, fromSource.messagesOut() - whole - difference,
-                    fromSource.bytesOut(), plan.relays());
-        }).syncUninterruptibly().getNow();
+                    long whole = wholes + (source == null ? 0 : source.wholes());
+                    long difference = differences + (source == null ? 0 : source.differences());
+                    return new Counts(
+                            0,
+                            whole,
+                            difference,
+                            fromSource.messagesOut() - whole - difference,
+                            fromSource.bytesOut(),
+                            plan.relays());
+                })
+                .syncUninterruptibly()
+                .getNow();
     }
 
     @Override
--- a/src/main/java/pondridge/scale/DiscoveryWay.java
+++ b/src/main/java/pondridge/scale/DiscoveryWay.java
@@ -27,10 +27,16 @@
     }
 
     private static List<DiscoveryStandin.Entry> entries(List<Target> targets) {
-        return targets.stream().map(each -> new DiscoveryStandin.Entry(each.uid(), each.endpoint(),
-                each.zone(), each.state() == State.READY ? "SERVING"
-                        : each.state() == State.DRAINING ? "DRAINING" : "DELETED",
-                each.startedMs())).toList();
+        return targets.stream()
+                .map(each -> new DiscoveryStandin.Entry(
+                        each.uid(),
+                        each.endpoint(),
+                        each.zone(),
+                        each.state() == State.READY
+                                ? "SERVING"
+                                : each.state() == State.DRAINING ? "DRAINING" : "DELETED",
+                        each.startedMs()))
+                .toList();
     }
 
     @Override
@@ -39,8 +45,7 @@
     }
 
     @Override
-    public Link attach(int follower, EventLoop loop, boolean inRegion,
-            BiConsumer<ListKind, List<Target>> listener) {
+    public Link attach(int follower, EventLoop loop, boolean inRegion, BiConsumer<ListKind, List<Target>> listener) {
         Discovery discovery = new Discovery(loop, inRegion ? region : door(), pushed, 0, listener);
         return new Link() {
             @Override
--- a/src/main/java/pondridge/scale/HollowFleet.java
+++ b/src/main/java/pondridge/scale/HollowFleet.java
@@ -28,8 +28,11 @@
         this.options = options;
         this.knowledge = knowledge;
         this.seeds = new Random(plan.seed());
-        this.region = plan.cases().stream().filter(each -> each.act() == ScalePlan.Act.REGION_CUT)
-                .mapToDouble(Step::part).findFirst().orElse(0);
+        this.region = plan.cases().stream()
+                .filter(each -> each.act() == ScalePlan.Act.REGION_CUT)
+                .mapToDouble(Step::part)
+                .findFirst()
+                .orElse(0);
         this.members = new HollowSidecar[size];
         this.loops = new EventLoop[size];
         for (int i = 0; i < size; i++) {
@@ -51,8 +54,15 @@
                     members[number].end();
                 }
                 knowledge.forget(number);
-                members[number] = new HollowSidecar(number, loops[number], options, seed, way,
-                        number < region * members.length, knowledge, failed::increment);
+                members[number] = new HollowSidecar(
+                        number,
+                        loops[number],
+                        options,
+                        seed,
+                        way,
+                        number < region * members.length,
+                        knowledge,
+                        failed::increment);
                 members[number].begin();
             });
         }
--- a/src/main/java/pondridge/scale/HollowSidecar.java
+++ b/src/main/java/pondridge/scale/HollowSidecar.java
@@ -24,10 +24,10 @@
     /** Leads nowhere. */
     private static final Transport NOWHERE = new Transport() {
         @Override
-        public void listed(long upstream, InetSocketAddress address, long startedMs, boolean ready) { }
+        public void listed(long upstream, InetSocketAddress address, long startedMs, boolean ready) {}
 
         @Override
-        public void gone(long upstream) { }
+        public void gone(long upstream) {}
 
         @Override
         public Attempt send(long upstream, Job job, long wait, Listener listener) {
@@ -41,7 +41,7 @@
         }
 
         @Override
-        public void closeIdle(long upstream) { }
+        public void closeIdle(long upstream) {}
     };
 
     private final int number;
@@ -52,8 +52,15 @@
     private boolean ended;
 
     /** One that has not begun; {@code failed} is told of each call for the list that fails. */
-    HollowSidecar(int number, EventLoop loop, Options options, long seed, ListWay way, boolean region,
-            Knowledge knowledge, Runnable failed) {
+    HollowSidecar(
+            int number,
+            EventLoop loop,
+            Options options,
+            long seed,
+            ListWay way,
+            boolean region,
+            Knowledge knowledge,
+            Runnable failed) {
         this.number = number;
         this.knowledge = knowledge;
         this.failed = failed;
@@ -63,21 +70,23 @@
 
     /** Begins with an empty list. */
     void begin() {
-        engine.start(new Directory() {
-            @Override
-            public void watch(boolean on) {
-                if (!ended) {
-                    link.watch(on);
-                }
-            }
+        engine.start(
+                new Directory() {
+                    @Override
+                    public void watch(boolean on) {
+                        if (!ended) {
+                            link.watch(on);
+                        }
+                    }
 
-            @Override
-            public void fetch() {
-                if (!ended) {
-                    link.fetch();
-                }
-            }
-        }, List.of());
+                    @Override
+                    public void fetch() {
+                        if (!ended) {
+                            link.fetch();
+                        }
+                    }
+                },
+                List.of());
         link.follow();
     }
 
--- a/src/main/java/pondridge/scale/Knowledge.java
+++ b/src/main/java/pondridge/scale/Knowledge.java
@@ -20,11 +20,12 @@
      *
      * @param last until the slowest follower had the slowest change
      */
-    public record Times(double p50, double p99, double last) { }
+    public record Times(double p50, double p99, double last) {}
 
     private final long[] has;
     /** The last version that is about what a follower follows, and what is of no use to whom. */
     private final long[] needs;
+
     private final Map<Long, IntPredicate> concerned = new HashMap<>();
     private final TreeMap<Long, Long> putAt = new TreeMap<>();
     /** In microseconds. */
@@ -69,7 +70,8 @@
     /** A follower's module has this version now. */
     public synchronized void had(int follower, long version, long now) {
         if (version > has[follower]) {
-            for (Map.Entry<Long, Long> each : putAt.subMap(has[follower], false, version, true).entrySet()) {
+            for (Map.Entry<Long, Long> each :
+                    putAt.subMap(has[follower], false, version, true).entrySet()) {
                 if (concerned.get(each.getKey()).test(follower)) {
                     took.recordValue(Math.min(LONGEST, Math.max(0, now - each.getValue()) / 1_000));
                 }
@@ -89,7 +91,7 @@
 
     /** Of all that was put since {@link #begin}; zeros where nobody had any of it. */
     public synchronized Times times() {
-        return new Times(took.getValueAtPercentile(50) / 1e3, took.getValueAtPercentile(99) / 1e3,
-                took.getMaxValue() / 1e3);
+        return new Times(
+                took.getValueAtPercentile(50) / 1e3, took.getValueAtPercentile(99) / 1e3, took.getMaxValue() / 1e3);
     }
 }
--- a/src/main/java/pondridge/scale/ListWay.java
+++ b/src/main/java/pondridge/scale/ListWay.java
@@ -44,13 +44,23 @@
         static final Counts NONE = new Counts(0, 0, 0, 0, 0, 0);
 
         Counts plus(Counts other) {
-            return new Counts(calls + other.calls, lists + other.lists, changes + other.changes,
-                    empties + other.empties, bytes + other.bytes, watches + other.watches);
+            return new Counts(
+                    calls + other.calls,
+                    lists + other.lists,
+                    changes + other.changes,
+                    empties + other.empties,
+                    bytes + other.bytes,
+                    watches + other.watches);
         }
 
         Counts since(Counts before) {
-            return new Counts(calls - before.calls, lists - before.lists, changes - before.changes,
-                    empties - before.empties, bytes - before.bytes, watches);
+            return new Counts(
+                    calls - before.calls,
+                    lists - before.lists,
+                    changes - before.changes,
+                    empties - before.empties,
+                    bytes - before.bytes,
+                    watches);
         }
 
         long messages() {
--- a/src/main/java/pondridge/scale/LoopSidecar.java
+++ b/src/main/java/pondridge/scale/LoopSidecar.java
@@ -19,14 +19,17 @@
     LoopSidecar(Options options, long seed, ListWay way) {
         EventLoop loop = role.next();
         Frontend front = loop.submit(() -> {
-            Engine engine = new Engine(loop, options, seed, MOST, new Upstreams(loop, options, MOST));
-            ListWay.Link link = way.attach(-1, loop, false, engine::listed);
-            engine.start(link, List.of());
-            link.follow();
-            return new Frontend(engine, options, MOST);
-        }).syncUninterruptibly().getNow();
-        door = (InetSocketAddress) front.listen(loop,
-                new InetSocketAddress(InetAddress.getLoopbackAddress(), 0)).syncUninterruptibly().channel()
+                    Engine engine = new Engine(loop, options, seed, MOST, new Upstreams(loop, options, MOST));
+                    ListWay.Link link = way.attach(-1, loop, false, engine::listed);
+                    engine.start(link, List.of());
+                    link.follow();
+                    return new Frontend(engine, options, MOST);
+                })
+                .syncUninterruptibly()
+                .getNow();
+        door = (InetSocketAddress) front.listen(loop, new InetSocketAddress(InetAddress.getLoopbackAddress(), 0))
+                .syncUninterruptibly()
+                .channel()
                 .localAddress();
         loop.execute(front::ready);
     }
--- a/src/main/java/pondridge/scale/ProcessSidecar.java
+++ b/src/main/java/pondridge/scale/ProcessSidecar.java
@@ -40,15 +40,18 @@
         try (ServerSocket any = new ServerSocket(0, 1, InetAddress.getLoopbackAddress())) {
             door = (InetSocketAddress) any.getLocalSocketAddress();
         }
-        ObjectNode config = Json.MAPPER.createObjectNode().put("name", name)
+        ObjectNode config = Json.MAPPER
+                .createObjectNode()
+                .put("name", name)
                 .put("listen", "127.0.0.1:" + door.getPort())
-                .put("discovery", "127.0.0.1:" + discovery.getPort()).put("seed", Long.toHexString(seed));
+                .put("discovery", "127.0.0.1:" + discovery.getPort())
+                .put("seed", Long.toHexString(seed));
         config.putObject("limits").put("sockets", SOCKETS);
         ObjectNode settings = config.putObject("settings");
         options.lines().forEach(settings::put);
         Path file = Files.writeString(folder.resolve(name + ".json"), config.toString());
-        child = Child.start(name, "pondridge.sidecar.Main", List.of(),
-                Map.of("PROXY_CONFIG", file.toString()), line -> { });
+        child = Child.start(
+                name, "pondridge.sidecar.Main", List.of(), Map.of("PROXY_CONFIG", file.toString()), line -> {});
     }
 
     /** Waits until it says that it is up. */
@@ -56,8 +59,8 @@
         long until = System.nanoTime() + LIMIT;
         while (!up()) {
             if (!child.handle().isAlive() || System.nanoTime() - until > 0) {
-                throw new IOException(child.name() + (child.handle().isAlive() ? " is not up after 30 s"
-                        : " has ended before it was up"));
+                throw new IOException(child.name()
+                        + (child.handle().isAlive() ? " is not up after 30 s" : " has ended before it was up"));
             }
             LockSupport.parkNanos(PAUSE);
         }
@@ -66,10 +69,11 @@
     private boolean up() {
         try (Socket socket = new Socket(door.getAddress(), door.getPort())) {
             socket.setSoTimeout(READ_MS);
-            socket.getOutputStream().write("GET /up HTTP/1.1\r\nHost: a\r\nConnection: close\r\n\r\n"
-                    .getBytes(StandardCharsets.US_ASCII));
-            String line = new BufferedReader(new InputStreamReader(socket.getInputStream(),
-                    StandardCharsets.US_ASCII)).readLine();
+            socket.getOutputStream()
+                    .write("GET /up HTTP/1.1\r\nHost: a\r\nConnection: close\r\n\r\n"
+                            .getBytes(StandardCharsets.US_ASCII));
+            String line = new BufferedReader(new InputStreamReader(socket.getInputStream(), StandardCharsets.US_ASCII))
+                    .readLine();
             return line != null && line.startsWith("HTTP/1.1 200");
         } catch (IOException e) {
             return false;
@@ -94,10 +98,13 @@
     @Override
     public long residentKb() {
         try {
-            return Files.readAllLines(Path.of("/proc", Long.toString(child.handle().pid()), "status"))
+            return Files.readAllLines(
+                            Path.of("/proc", Long.toString(child.handle().pid()), "status"))
                     .stream()
                     .filter(line -> line.startsWith("VmRSS:"))
-                    .mapToLong(line -> Long.parseLong(line.replaceAll("[^0-9]", ""))).findFirst().orElse(0);
+                    .mapToLong(line -> Long.parseLong(line.replaceAll("[^0-9]", "")))
+                    .findFirst()
+                    .orElse(0);
         } catch (IOException e) {
             return 0;
         }
--- a/src/main/java/pondridge/scale/RealBed.java
+++ b/src/main/java/pondridge/scale/RealBed.java
@@ -30,13 +30,13 @@
     private static final int BODY = 120;
     private static final InetSocketAddress LOCAL = new InetSocketAddress(InetAddress.getLoopbackAddress(), 0);
     /** Port 9, discard: lines without a server are there for hollow sidecars, which send nothing. */
-    private static final InetSocketAddress NOBODY =
-            new InetSocketAddress(InetAddress.getLoopbackAddress(), 9);
+    private static final InetSocketAddress NOBODY = new InetSocketAddress(InetAddress.getLoopbackAddress(), 9);
 
     private final ScalePlan plan;
     private final Options options;
     /** How long clients wait, in nanoseconds. */
     private final long waits;
+
     private final Role serving = new Role("servers", 1);
     private final Role asking = new Role("clients", 1);
     private final EventLoop clients = asking.next();
@@ -54,8 +54,11 @@
         this.ledger = new EffectLedger(500 * MS, (long) options.number("rules.stopSendingWithin", 2e9));
         EventLoop loop = serving.next();
         for (int i = 0; i < plan.servers(); i++) {
-            servers.add(new StandinServer(loop, LOCAL, StandinServer.Setup.of(name(i), zone(i),
-                    StandinServer.Protocol.HTTP1, FaultScript.none(WORK), ledger, memory)));
+            servers.add(new StandinServer(
+                    loop,
+                    LOCAL,
+                    StandinServer.Setup.of(
+                            name(i), zone(i), StandinServer.Protocol.HTTP1, FaultScript.none(WORK), ledger, memory)));
         }
         Runtime.getRuntime().addShutdownHook(killer);
     }
@@ -70,8 +73,19 @@
 
     /** These lines of the list, all in one state. */
     List<Target> targets(List<Integer> lines, State state) {
-        return lines.stream().map(line -> new Target(name(line), servers.isEmpty() ? NOBODY
-                : servers.get(line % servers.size()).address(), zone(line), "m", 0, state, 1, 0)).toList();
+        return lines.stream()
+                .map(line -> new Target(
+                        name(line),
+                        servers.isEmpty()
+                                ? NOBODY
+                                : servers.get(line % servers.size()).address(),
+                        zone(line),
+                        "m",
+                        0,
+                        state,
+                        1,
+                        0))
+                .toList();
     }
 
     /** The source is about to say so of these lines, which the ledger holds sidecars to from now on. */
@@ -113,10 +127,14 @@
         shares.put("order-book", 0.15);
         Map<String, Long> patience = new LinkedHashMap<>();
         shares.keySet().forEach(each -> patience.put(each, waits));
-        return new OpenLoad(clients, sidecars.stream().map(RealSidecar::door).toList(), ledger,
-                plan.seed() + run.hashCode(), run).start(new OpenLoad.Plan(
-                        (int) Math.ceil(plan.perSecond() * seconds), plan.perSecond(), shares, patience,
-                        BODY));
+        return new OpenLoad(
+                        clients,
+                        sidecars.stream().map(RealSidecar::door).toList(),
+                        ledger,
+                        plan.seed() + run.hashCode(),
+                        run)
+                .start(new OpenLoad.Plan(
+                        (int) Math.ceil(plan.perSecond() * seconds), plan.perSecond(), shares, patience, BODY));
     }
 
     EffectLedger.Verdict verdict() {
--- a/src/main/java/pondridge/scale/Role.java
+++ b/src/main/java/pondridge/scale/Role.java
@@ -19,12 +19,14 @@
 
     /** Starts so many threads. */
     Role(String name, int loops) {
-        group = new MultiThreadIoEventLoopGroup(loops, new DefaultThreadFactory("scale-" + name, true),
-                NioIoHandler.newFactory());
+        group = new MultiThreadIoEventLoopGroup(
+                loops, new DefaultThreadFactory("scale-" + name, true), NioIoHandler.newFactory());
         threads = new long[loops];
         int i = 0;
         for (EventExecutor each : group) {
-            threads[i++] = each.submit(() -> Thread.currentThread().getId()).syncUninterruptibly().getNow();
+            threads[i++] = each.submit(() -> Thread.currentThread().getId())
+                    .syncUninterruptibly()
+                    .getNow();
         }
     }
 
--- a/src/main/java/pondridge/scale/ScalePlan.java
+++ b/src/main/java/pondridge/scale/ScalePlan.java
@@ -29,17 +29,34 @@
  *     sidecar follows {@code follows}
  * @param limit after so long a case has failed whose change is not known everywhere
  */
-public record ScalePlan(String name, long seed, List<Integer> sizes, int entries, int zones, int loops,
-        boolean pushed, long askWithin, int sidecars, boolean processes, int perSecond, long limit,
-        ControlSettings control, int relays, int services, int follows, List<Step> cases) {
+public record ScalePlan(
+        String name,
+        long seed,
+        List<Integer> sizes,
+        int entries,
+        int zones,
+        int loops,
+        boolean pushed,
+        long askWithin,
+        int sidecars,
+        boolean processes,
+        int perSecond,
+        long limit,
+        ControlSettings control,
+        int relays,
+        int services,
+        int follows,
+        List<Step> cases) {
     /**
      * The most lines that all hollow sidecars of a run hold together: about a kilobyte each in the worst
      * case.
      */
     static final long MOST_LINES = 4_000_000;
+
     private static final int SPARE_DESCRIPTORS = 400;
     /** Listing, upstreams and both ends of a client's connection. */
     private static final int DESCRIPTORS_A_SIDECAR = 60;
+
     private static final long MS = 1_000_000;
 
     /** What a case does. */
@@ -75,12 +92,11 @@
      * @param before the one change of an outage comes right before it, and not at its end
      * @param part of the hollow sidecars, of {@link Act#REGION_CUT}
      */
-    public record Step(String name, Act act, long length, double perSecond, boolean folded, boolean before,
-            double part) {
+    public record Step(
+            String name, Act act, long length, double perSecond, boolean folded, boolean before, double part) {
         /** Whether it is about an outage, whose end is what counts. */
         public boolean outage() {
-            return act == Act.KILLED || act == Act.SOURCE_KILLED || act == Act.SILENT
-                    || act == Act.REGION_CUT;
+            return act == Act.KILLED || act == Act.SOURCE_KILLED || act == Act.SILENT || act == Act.REGION_CUT;
         }
     }
 
@@ -100,20 +116,25 @@
         if (cases.isEmpty()) {
             throw new SettingsException(file.name(), "cases", "expected at least one section [cases.NAME]");
         }
-        boolean control = scale.word("way", "discovery", List.of("discovery", "control"))
-                .equals("control");
+        boolean control =
+                scale.word("way", "discovery", List.of("discovery", "control")).equals("control");
         int services = control ? scale.number("services", 1, 1, 4_096) : 1;
-        ScalePlan plan = new ScalePlan(file.name(), scale.number("seed", 1, 0, Integer.MAX_VALUE),
+        ScalePlan plan = new ScalePlan(
+                file.name(),
+                scale.number("seed", 1, 0, Integer.MAX_VALUE),
                 List.copyOf(scale.numbers("sizes", List.of(100, 300, 1_000), 1, 10_000)),
-                scale.number("entries", 60, 1, 20_000), scale.number("zones", 3, 1, 100),
+                scale.number("entries", 60, 1, 20_000),
+                scale.number("zones", 3, 1, 100),
                 scale.number("loops", 2, 1, 8),
                 scale.word("lists", "asked", List.of("asked", "pushed")).equals("pushed"),
                 scale.time("ask_within", "10s", "100ms", "10min"),
                 scale.number("sidecars", control ? 0 : 2, 0, 20),
                 scale.word("hosting", "process", List.of("process", "loop")).equals("process"),
-                scale.number("per_second", 40, 0, 1_000), scale.time("limit", "60s", "1s", "10min"),
+                scale.number("per_second", 40, 0, 1_000),
+                scale.time("limit", "60s", "1s", "10min"),
                 control ? ControlSettings.of(file, Path.of("")) : null,
-                control ? scale.number("relays", 2, 1, 16) : 0, services,
+                control ? scale.number("relays", 2, 1, 16) : 0,
+                services,
                 control ? scale.number("follows", services, 1, services) : 1,
                 List.copyOf(cases));
         if (plan.zones > plan.entries) {
@@ -126,19 +147,27 @@
             throw scale.contradiction("sidecars", "expected 0 with way control: real ones follow discovery");
         }
         if ((long) plan.largest() * plan.entries * plan.follows / plan.services > MOST_LINES) {
-            throw scale.contradiction("entries", "expected at most " + MOST_LINES / plan.largest()
-                    + " with " + plan.largest() + " hollow sidecars: all of them hold the list");
+            throw scale.contradiction(
+                    "entries",
+                    "expected at most " + MOST_LINES / plan.largest() + " with " + plan.largest()
+                            + " hollow sidecars: all of them hold the list");
         }
         return plan;
     }
 
     private static Step step(String name, Section section) {
         section.text("do", null);
-        String word = section.word("do", null, Arrays.stream(Act.values()).map(Act::word).toList());
+        String word = section.word(
+                "do", null, Arrays.stream(Act.values()).map(Act::word).toList());
         Act act = Act.valueOf(word.replace('-', '_').toUpperCase(Locale.ROOT));
-        boolean folded = section.word("told", "singly", List.of("singly", "folded")).equals("folded");
-        Step step = new Step(name, act, section.time("for", act == Act.JOIN ? "0ms" : "1s", "0ms", "10min"),
-                section.fraction("per_second", 1, 0.01, 1_000), folded,
+        boolean folded =
+                section.word("told", "singly", List.of("singly", "folded")).equals("folded");
+        Step step = new Step(
+                name,
+                act,
+                section.time("for", act == Act.JOIN ? "0ms" : "1s", "0ms", "10min"),
+                section.fraction("per_second", 1, 0.01, 1_000),
+                folded,
                 section.word("change", "after", List.of("after", "before")).equals("before"),
                 section.fraction("part", 0.3, 0.01, 1));
         if (act == Act.CHURN && Schedule.count(step) == 0) {
@@ -185,8 +214,10 @@
         // Both ends of a watch are in this process, and so are the servers and the clients.
         long needs = 2L * largest() + servers() + (long) DESCRIPTORS_A_SIDECAR * sidecars + SPARE_DESCRIPTORS;
         if (descriptors > 0 && needs > descriptors) {
-            throw new SettingsException(name, "scale.sizes", "needs " + needs
-                    + " descriptors, this process may have " + descriptors + " (ulimit -n)");
+            throw new SettingsException(
+                    name,
+                    "scale.sizes",
+                    "needs " + needs + " descriptors, this process may have " + descriptors + " (ulimit -n)");
         }
     }
 }
--- a/src/main/java/pondridge/scale/ScaleRun.java
+++ b/src/main/java/pondridge/scale/ScaleRun.java
@@ -44,8 +44,8 @@
         Source DISCOVERY = (plan, first) -> new DiscoveryWay(plan.pushed(), first);
 
         /** The way that the plan names. */
-        Source PLANNED = (plan, first) -> plan.control() == null
-                ? DISCOVERY.start(plan, first) : new ControlWay(plan, first);
+        Source PLANNED =
+                (plan, first) -> plan.control() == null ? DISCOVERY.start(plan, first) : new ControlWay(plan, first);
     }
 
     private final ScalePlan plan;
@@ -60,8 +60,9 @@
         this.plan = plan;
         this.source = source;
         this.progress = progress;
-        this.options = Usual.options(WAIT_MS, "discovery="
-                + (plan.pushed() || plan.control() != null ? "automatic" : "subscribe"),
+        this.options = Usual.options(
+                WAIT_MS,
+                "discovery=" + (plan.pushed() || plan.control() != null ? "automatic" : "subscribe"),
                 "rules.askWithin=" + plan.askWithin());
         this.lines = IntStream.range(0, plan.entries()).boxed().toList();
     }
@@ -84,7 +85,8 @@
 
     private static long descriptors() {
         return ManagementFactory.getOperatingSystemMXBean() instanceof UnixOperatingSystemMXBean told
-                ? told.getMaxFileDescriptorCount() : 0;
+                ? told.getMaxFileDescriptorCount()
+                : 0;
     }
 
     /** What closed connections hold goes only with the collection after the one that finds them closed. */
@@ -128,8 +130,8 @@
                 long before = heapAfterCollection();
                 fleet.join();
                 if (!known()) {
-                    throw new IOException(knowledge.missing(version) + " of " + size
-                            + " hollow sidecars never had the first list");
+                    throw new IOException(
+                            knowledge.missing(version) + " of " + size + " hollow sidecars never had the first list");
                 }
                 heapKb = (heapAfterCollection() - before) / 1024.0 / size;
                 for (Step step : plan.cases()) {
@@ -163,8 +165,8 @@
             version++;
             bed.told(changed, state);
             int[] services = changed.stream().mapToInt(plan::service).distinct().toArray();
-            knowledge.put(version, System.nanoTime(),
-                    follower -> Arrays.stream(services).anyMatch(each -> plan.follows(follower, each)));
+            knowledge.put(version, System.nanoTime(), follower -> Arrays.stream(services)
+                    .anyMatch(each -> plan.follows(follower, each)));
             way.put(bed.targets(changed, state));
         }
 
@@ -178,13 +180,16 @@
 
             Playing(Step step) {
                 this.step = step;
-                this.schedule = new Schedule(step, plan.entries(), plan.zones(),
+                this.schedule = new Schedule(
+                        step,
+                        plan.entries(),
+                        plan.zones(),
                         plan.seed() + step.name().hashCode());
             }
 
             Row play() throws IOException, InterruptedException {
-                CompletableFuture<Void> load = bed.load(size + "-" + step.name(),
-                        Math.max(LOAD_MIN, step.length()) / 1e9);
+                CompletableFuture<Void> load =
+                        bed.load(size + "-" + step.name(), Math.max(LOAD_MIN, step.length()) / 1e9);
                 knowledge.begin();
                 ListWay.Counts counted = way.counts();
                 ListWay.Counts relayed = way.relayed();
@@ -202,12 +207,26 @@
                     backAll(watches);
                 }
                 double seconds = (System.nanoTime() - began) / 1e9;
-                double events = step.act() == Act.QUIET ? seconds : Math.max(1, schedule.changes().size());
-                Row row = new Row(size, plan.entries(), step, events, seconds, knowledge.times(),
-                        done ? 0 : knowledge.missing(version), way.counts().since(counted),
-                        way.cpuNanos() - sourceCpu, way.relayed().since(relayed),
-                        way.relayNanos() - relayCpu, fleet.cpuNanos() - followerCpu,
-                        fleet.failed() - failedBefore, failedDown, heapKb, bed.cpuNanos() - realCpu,
+                double events = step.act() == Act.QUIET
+                        ? seconds
+                        : Math.max(1, schedule.changes().size());
+                Row row = new Row(
+                        size,
+                        plan.entries(),
+                        step,
+                        events,
+                        seconds,
+                        knowledge.times(),
+                        done ? 0 : knowledge.missing(version),
+                        way.counts().since(counted),
+                        way.cpuNanos() - sourceCpu,
+                        way.relayed().since(relayed),
+                        way.relayNanos() - relayCpu,
+                        fleet.cpuNanos() - followerCpu,
+                        fleet.failed() - failedBefore,
+                        failedDown,
+                        heapKb,
+                        bed.cpuNanos() - realCpu,
                         bed.residentKb());
                 join(load);
                 restore();
--- a/src/main/java/pondridge/scale/Schedule.java
+++ b/src/main/java/pondridge/scale/Schedule.java
@@ -15,7 +15,7 @@
  */
 public final class Schedule {
     /** One change of the list, which is one version. */
-    public record Change(long at, List<Integer> lines, State state) { }
+    public record Change(long at, List<Integer> lines, State state) {}
 
     private final List<Change> changes = new ArrayList<>();
     private final List<Integer> away = new ArrayList<>();
@@ -26,7 +26,7 @@
         switch (step.act()) {
             case CHURN -> churn(step, entries, random);
             case ZONE_GONE -> zoneGone(step, entries, zones, random);
-            default -> { }
+            default -> {}
         }
     }
 
@@ -56,7 +56,10 @@
 
     private void zoneGone(Step step, int entries, int zones, Random random) {
         int zone = random.nextInt(zones);
-        away.addAll(IntStream.range(0, entries).filter(line -> line % zones == zone).boxed().toList());
+        away.addAll(IntStream.range(0, entries)
+                .filter(line -> line % zones == zone)
+                .boxed()
+                .toList());
         Collections.shuffle(away, random);
         if (step.folded()) {
             changes.add(new Change(0, List.copyOf(away), State.GONE));
--- a/src/main/java/pondridge/settings/Section.java
+++ b/src/main/java/pondridge/settings/Section.java
@@ -52,8 +52,8 @@
         }
         List<Integer> numbers = new ArrayList<>();
         for (JsonNode each : value) {
-            numbers.add(each.isIntegralNumber() && each.asLong() >= least && each.asLong() <= most
-                    ? each.asInt() : null);
+            numbers.add(
+                    each.isIntegralNumber() && each.asLong() >= least && each.asLong() <= most ? each.asInt() : null);
         }
         if (!value.isArray() || numbers.isEmpty() || numbers.contains(null)) {
             throw wrong(key, "a list of whole numbers from " + least + " to " + most, value);
@@ -146,8 +146,8 @@
         if (!value.isMissingNode() && !value.isObject()) {
             throw wrong(key, "a section", value);
         }
-        Section inner = new Section(file, name + '.' + key,
-                value.isMissingNode() ? JsonNodeFactory.instance.objectNode() : value);
+        Section inner = new Section(
+                file, name + '.' + key, value.isMissingNode() ? JsonNodeFactory.instance.objectNode() : value);
         children.add(inner);
         return inner;
     }
@@ -157,13 +157,12 @@
         return new SettingsException(file, name + "." + key, problem);
     }
 
-    private long measure(String key, String absent, String least, String most, Map<String, Long> units,
-            String what) {
+    private long measure(String key, String absent, String least, String most, Map<String, Long> units, String what) {
         JsonNode value = value(key);
         long lower = parse(least, units);
         long upper = parse(most, units);
-        long given = value.isMissingNode() ? parse(absent, units)
-                : value.isTextual() ? parse(value.asText(), units) : -1;
+        long given =
+                value.isMissingNode() ? parse(absent, units) : value.isTextual() ? parse(value.asText(), units) : -1;
         if (given < lower || given > upper) {
             throw wrong(key, what + ", from " + least + " to " + most, value);
         }
--- a/src/main/java/pondridge/settings/SettingsFile.java
+++ b/src/main/java/pondridge/settings/SettingsFile.java
@@ -46,7 +46,8 @@
         try {
             return new SettingsFile(name, new TomlMapper().readTree(text));
         } catch (JsonProcessingException e) {
-            String where = e.getLocation() == null ? "" : "line " + e.getLocation().getLineNr() + ": ";
+            String where =
+                    e.getLocation() == null ? "" : "line " + e.getLocation().getLineNr() + ": ";
             throw new SettingsException(name, "", "not TOML: " + where + e.getOriginalMessage());
         }
     }
--- a/src/main/java/pondridge/sidecar/Main.java
+++ b/src/main/java/pondridge/sidecar/Main.java
@@ -31,16 +31,19 @@
     private static final long ACCEPT_MS = 500;
     /** SIGKILL comes no sooner than the longest deadline, of which 3 s count at most, and 0.7 s more. */
     private static final long LONGEST_MS = 3_000;
+
     private static final long SPARE_MS = 600;
     /** Of that: for the last answers to be written. */
     private static final long LAST_WRITES_MS = 150;
+
     private static final long POLL_MS = 20;
     /** The listening ends when nobody has connected for so long: what is not yet accepted would be reset. */
     private static final long QUIET = 50_000_000;
+
     private static final int MOST_LOOKS = 10;
     private static final String REHEARSE = "rehearse";
 
-    private Main() { }
+    private Main() {}
 
     /**
      * Runs until SIGTERM, with the argument {@code rehearse} only until it is warm: that checks a
@@ -103,8 +106,8 @@
         try {
             Class<?> signal = Class.forName("sun.misc.Signal");
             Class<?> handler = Class.forName("sun.misc.SignalHandler");
-            Object ours = Proxy.newProxyInstance(Main.class.getClassLoader(), new Class<?>[] {handler},
-                    (proxy, method, arguments) -> {
+            Object ours = Proxy.newProxyInstance(
+                    Main.class.getClassLoader(), new Class<?>[] {handler}, (proxy, method, arguments) -> {
                         if (method.getName().equals("handle")) {
                             action.run();
                         }
@@ -122,18 +125,23 @@
         }
     }
 
-    private static void start(MultiThreadIoEventLoopGroup group, EventLoop loop, Config config,
-            SidecarSettings settings, boolean rehearsal, CompletableFuture<Consumer<Config>> running) {
+    private static void start(
+            MultiThreadIoEventLoopGroup group,
+            EventLoop loop,
+            Config config,
+            SidecarSettings settings,
+            boolean rehearsal,
+            CompletableFuture<Consumer<Config>> running) {
         Transport upstreams = settings == null
                 ? new Upstreams(loop, config.options(), config.mostUpstream())
                 : MixedUpstreams.of(loop, config.options(), settings.upstreams(), config.mostUpstream());
         Engine engine = new Engine(loop, config.options(), config.seed(), config.sockets() / 2, upstreams);
         if (settings != null && settings.store() != null) {
-            Sharing.begin(loop, engine, settings.store(), config.options().settings().limits(),
-                    config.seed() + 1);
+            Sharing.begin(
+                    loop, engine, settings.store(), config.options().settings().limits(), config.seed() + 1);
         }
-        Discovery discovery = new Discovery(loop, config.discovery(), config.pushed(),
-                config.known().rev(), engine::listed);
+        Discovery discovery = new Discovery(
+                loop, config.discovery(), config.pushed(), config.known().rev(), engine::listed);
         Frontend frontend = new Frontend(engine, config.options(), config.mostClients());
         RequestLog log = RequestLog.fromEnvironment();
         engine.log(log);
@@ -145,14 +153,18 @@
             engine.start(discovery, config.known().targets());
             discovery.follow();
         }
-        SecondFront second = settings == null || settings.grpc() == null ? SecondFront.NONE
+        SecondFront second = settings == null || settings.grpc() == null
+                ? SecondFront.NONE
                 : new SecondFront.Grpc(loop, settings.grpc(), config, engine);
         // Only where discovery is; all else stays as it was at the start.
         running.complete(read -> loop.execute(() -> discovery.move(read.discovery())));
-        second.listen(() -> PatientBind.listen(loop, config.listen(),
-                () -> frontend.listen(group, config.listen()), channel -> {
+        second.listen(() ->
+                PatientBind.listen(loop, config.listen(), () -> frontend.listen(group, config.listen()), channel -> {
                     endAtSigterm(loop, config, engine, frontend, second);
-                    WarmUp.run(loop, config.options(), (InetSocketAddress) channel.localAddress(),
+                    WarmUp.run(
+                            loop,
+                            config.options(),
+                            (InetSocketAddress) channel.localAddress(),
                             rehearsal ? Main::end : () -> ready(config, frontend, second));
                 }));
     }
@@ -173,10 +185,15 @@
     }
 
     /** The hook holds the process until all is answered, or as long as the platform lets it. */
-    private static void endAtSigterm(EventLoop loop, Config config, Engine engine, Frontend frontend,
-            SecondFront second) {
-        long longest = Math.min(LONGEST_MS, config.options().settings().classes().stream()
-                .mapToLong(RequestClass::deadline).max().orElse(0) / 1_000_000);
+    private static void endAtSigterm(
+            EventLoop loop, Config config, Engine engine, Frontend frontend, SecondFront second) {
+        long longest = Math.min(
+                LONGEST_MS,
+                config.options().settings().classes().stream()
+                                .mapToLong(RequestClass::deadline)
+                                .max()
+                                .orElse(0)
+                        / 1_000_000);
         Runtime.getRuntime().addShutdownHook(new Thread(() -> {
             CountDownLatch done = new CountDownLatch(1);
             loop.execute(frontend::drain);
@@ -184,11 +201,15 @@
             loop.execute(() -> engine.endWithin((longest + SPARE_MS - LAST_WRITES_MS) * 1_000_000));
             loop.schedule(second::close, ACCEPT_MS, TimeUnit.MILLISECONDS);
             loop.schedule(() -> closeWhenQuiet(loop, frontend, MOST_LOOKS), ACCEPT_MS, TimeUnit.MILLISECONDS);
-            loop.scheduleWithFixedDelay(() -> {
-                if (frontend.empty() && engine.idle() && second.idle()) {
-                    done.countDown();
-                }
-            }, ACCEPT_MS, POLL_MS, TimeUnit.MILLISECONDS);
+            loop.scheduleWithFixedDelay(
+                    () -> {
+                        if (frontend.empty() && engine.idle() && second.idle()) {
+                            done.countDown();
+                        }
+                    },
+                    ACCEPT_MS,
+                    POLL_MS,
+                    TimeUnit.MILLISECONDS);
             try {
                 done.await(longest + SPARE_MS, TimeUnit.MILLISECONDS);
             } catch (InterruptedException e) {
--- a/src/main/java/pondridge/sidecar/PatientBind.java
+++ b/src/main/java/pondridge/sidecar/PatientBind.java
@@ -17,6 +17,7 @@
 final class PatientBind {
     /** SIGKILL ends the process before at most 3.7 s after its SIGTERM. */
     private static final long LONGEST = 5_000_000_000L;
+
     private static final long AGAIN_MS = 50;
 
     private final EventLoop loop;
@@ -25,8 +26,8 @@
     private final Consumer<Channel> listening;
     private final long began = System.nanoTime();
 
-    private PatientBind(EventLoop loop, InetSocketAddress address, Supplier<ChannelFuture> listen,
-            Consumer<Channel> listening) {
+    private PatientBind(
+            EventLoop loop, InetSocketAddress address, Supplier<ChannelFuture> listen, Consumer<Channel> listening) {
         this.loop = loop;
         this.address = address;
         this.listen = listen;
@@ -40,8 +41,8 @@
      * @param address for that line
      * @param listening told of the channel that is bound
      */
-    static void listen(EventLoop loop, InetSocketAddress address, Supplier<ChannelFuture> listen,
-            Consumer<Channel> listening) {
+    static void listen(
+            EventLoop loop, InetSocketAddress address, Supplier<ChannelFuture> listen, Consumer<Channel> listening) {
         new PatientBind(loop, address, listen, listening).tryOnce();
     }
 
--- a/src/main/java/pondridge/sidecar/SecondFront.java
+++ b/src/main/java/pondridge/sidecar/SecondFront.java
@@ -10,7 +10,7 @@
 /** A front beside HTTP/1.1's; {@link #NONE} where there is none, and then nothing of it is loaded. */
 interface SecondFront {
     /** No other front. */
-    SecondFront NONE = new SecondFront() { };
+    SecondFront NONE = new SecondFront() {};
 
     /** Listens, then calls {@code listening}; what comes before {@link #ready} is told that it is not. */
     default void listen(Runnable listening) {
@@ -18,13 +18,13 @@
     }
 
     /** The program is warm. */
-    default void ready() { }
+    default void ready() {}
 
     /** The program is about to end. */
-    default void drain() { }
+    default void drain() {}
 
     /** No more connections are taken. */
-    default void close() { }
+    default void close() {}
 
     /** Whether nothing is open. */
     default boolean idle() {
@@ -40,10 +40,13 @@
         Grpc(EventLoop loop, GrpcSettings settings, Config config, Engine engine) {
             this.loop = loop;
             address = settings.listen();
-            front = new GrpcFront(loop, settings, config.options(), engine,
+            front = new GrpcFront(
+                    loop,
+                    settings,
+                    config.options(),
+                    engine,
                     Long.toHexString(System.nanoTime()),
-                    (event, peer, detail) -> System.err.println("pondridge: " + event + ' ' + peer + ": "
-                            + detail));
+                    (event, peer, detail) -> System.err.println("pondridge: " + event + ' ' + peer + ": " + detail));
         }
 
         @Override
--- a/src/main/java/pondridge/sidecar/SidecarSettings.java
+++ b/src/main/java/pondridge/sidecar/SidecarSettings.java
@@ -23,8 +23,8 @@
     /** Reads a whole file; any mistake is a {@link pondridge.settings.SettingsException}. */
     public static SidecarSettings read(Path path) {
         SettingsFile file = SettingsFile.read(path);
-        SidecarSettings read = new SidecarSettings(TransportSettings.of(file,
-                path.toAbsolutePath().getParent()),
+        SidecarSettings read = new SidecarSettings(
+                TransportSettings.of(file, path.toAbsolutePath().getParent()),
                 file.has("store") ? StoreSettings.of(file, path.toAbsolutePath().getParent()) : null,
                 file.has("control") ? control(file, path.toAbsolutePath().getParent()) : null);
         file.finish();
--- a/src/main/java/pondridge/sidecar/WarmUp.java
+++ b/src/main/java/pondridge/sidecar/WarmUp.java
@@ -26,9 +26,10 @@
     private static final long PATIENCE = 1_000_000_000;
     /** On a crowded core a cold sidecar is better than a late one. */
     private static final long LONGEST = 3_000_000_000L;
+
     private static final long STEP = 10_000_000;
-    private static final Job UP = new Job(0, 0, 0, 0, 0, false, HttpMethod.GET, "/up",
-            new DefaultHttpHeaders(), new byte[0]);
+    private static final Job UP =
+            new Job(0, 0, 0, 0, 0, false, HttpMethod.GET, "/up", new DefaultHttpHeaders(), new byte[0]);
 
     private final Upstreams self;
     private final Runnable done;
@@ -54,20 +55,20 @@
             done.run();
             return;
         }
-        self.send(0, UP, PATIENCE, (outcome, answer, load) ->
-                ask(outcome == Outcome.ERROR ? left - 1 : 0));
+        self.send(0, UP, PATIENCE, (outcome, answer, load) -> ask(outcome == Outcome.ERROR ? left - 1 : 0));
     }
 
     private static void decide(Settings settings) {
         Balancer rules = new Rules(settings, 0, new Unheard());
         long now = System.nanoTime() & Long.MAX_VALUE;
         rules.start(now);
-        rules.listChanged(now, ListKind.CACHED, List.of(
-                new Upstream(1, 0, 0, 0, State.READY, 1, 0), new Upstream(2, 0, 0, 0, State.READY, 1, 0)));
+        rules.listChanged(
+                now,
+                ListKind.CACHED,
+                List.of(new Upstream(1, 0, 0, 0, State.READY, 1, 0), new Upstream(2, 0, 0, 0, State.READY, 1, 0)));
         for (int i = 0; i < ROUNDS; i++) {
             now += STEP;
-            rules.request(now,
-                    new Request(i, i % settings.classes().size(), 0, 0, PATIENCE, 0, false, false));
+            rules.request(now, new Request(i, i % settings.classes().size(), 0, 0, PATIENCE, 0, false, false));
             rules.outcome(now + STEP / 2, i, 0, 1, Outcome.OK, STEP / 2, true, new float[0]);
             rules.timer(now + STEP / 2, i);
         }
@@ -75,36 +76,36 @@
 
     private static final class Unheard implements Balancer.Actions {
         @Override
-        public void send(long request, long upstream, long timeout) { }
+        public void send(long request, long upstream, long timeout) {}
 
         @Override
-        public void refuse(long request, long wait) { }
+        public void refuse(long request, long wait) {}
 
         @Override
-        public void fail(long request) { }
+        public void fail(long request) {}
 
         @Override
-        public void cancel(long request, int attempt) { }
+        public void cancel(long request, int attempt) {}
 
         @Override
-        public void timer(long token, long at) { }
+        public void timer(long token, long at) {}
 
         @Override
-        public void probe(long upstream) { }
+        public void probe(long upstream) {}
 
         @Override
-        public void closeIdle(long upstream) { }
+        public void closeIdle(long upstream) {}
 
         @Override
-        public void tell(int peer, byte[] message) { }
+        public void tell(int peer, byte[] message) {}
 
         @Override
-        public void log(String line) { }
+        public void log(String line) {}
 
         @Override
-        public void subscribe(boolean on) { }
+        public void subscribe(boolean on) {}
 
         @Override
-        public void fetchList() { }
+        public void fetchList() {}
     }
 }
