--- a/src/main/java/pondridge/siteloss/LossPlan.java
+++ b/src/main/java/pondridge/siteloss/LossPlan.java
@@ -15,23 +15,33 @@
  *     the classes worth
  *     most, and their own of the same, would still fit; above 1 where it doesn't, 0 where there is none of it
  */
-public record LossPlan(Set<String> lost, List<Flow> flows, List<Refused> refused, List<String> narrow,
-        List<String> unfit, double slack) {
+public record LossPlan(
+        Set<String> lost,
+        List<Flow> flows,
+        List<Refused> refused,
+        List<String> narrow,
+        List<String> unfit,
+        double slack) {
     /** What one site takes of another's. */
-    public record Flow(String from, String to, String kind, double perSecond) { }
+    public record Flow(String from, String to, String kind, double perSecond) {}
 
     /** What of a class of a lost site is refused, of so many asked. */
-    public record Refused(String from, String kind, double perSecond, double asked) { }
+    public record Refused(String from, String kind, double perSecond, double asked) {}
 
     /** What is taken of a class of a lost site, in requests a second. */
     public double taken(String from, String kind) {
-        return flows.stream().filter(flow -> flow.from.equals(from) && flow.kind.equals(kind))
-                .mapToDouble(Flow::perSecond).sum();
+        return flows.stream()
+                .filter(flow -> flow.from.equals(from) && flow.kind.equals(kind))
+                .mapToDouble(Flow::perSecond)
+                .sum();
     }
 
     /** The part of a class of a lost site that finds room; 1 where none is asked. */
     public double admitted(String from, String kind) {
-        return refused.stream().filter(each -> each.from.equals(from) && each.kind.equals(kind))
-                .mapToDouble(each -> 1 - each.perSecond / each.asked).findFirst().orElse(1);
+        return refused.stream()
+                .filter(each -> each.from.equals(from) && each.kind.equals(kind))
+                .mapToDouble(each -> 1 - each.perSecond / each.asked)
+                .findFirst()
+                .orElse(1);
     }
 }
--- a/src/main/java/pondridge/siteloss/LossPlanner.java
+++ b/src/main/java/pondridge/siteloss/LossPlanner.java
@@ -38,10 +38,16 @@
 
     private LossPlanner(Topology topology, Set<String> gone) {
         this.topology = topology;
-        this.lost = topology.sites().stream().filter(site -> gone.contains(site.name())).toList();
-        this.left = topology.sites().stream().filter(site -> !gone.contains(site.name())).toList();
-        this.room = left.stream().mapToDouble(site -> Math.max(0,
-                site.capacity() * (1 - topology.reserve()) - topology.ownWork(site, 0))).toArray();
+        this.lost = topology.sites().stream()
+                .filter(site -> gone.contains(site.name()))
+                .toList();
+        this.left = topology.sites().stream()
+                .filter(site -> !gone.contains(site.name()))
+                .toList();
+        this.room = left.stream()
+                .mapToDouble(
+                        site -> Math.max(0, site.capacity() * (1 - topology.reserve()) - topology.ownWork(site, 0)))
+                .toArray();
         this.ways = new double[lost.size()][left.size()];
         this.known = new Way[lost.size()][left.size()];
         for (Way way : topology.ways()) {
@@ -78,7 +84,8 @@
         List<Refused> refused = new ArrayList<>();
         Set<String> narrow = new LinkedHashSet<>();
         List<Kind> order = topology.classes().stream()
-                .sorted(Comparator.comparingDouble(Kind::worth).reversed()).toList();
+                .sorted(Comparator.comparingDouble(Kind::worth).reversed())
+                .toList();
         double best = order.get(0).worth();
         double crossing = 0;
         double unplaced = 0;
@@ -104,15 +111,23 @@
                 unplaced += dearest ? Math.max(0, missing) : 0;
             }
         }
-        List<String> unfit = left.stream().filter(site -> topology.ownWork(site, 0) > site.capacity())
-                .map(Site::name).toList();
-        return new LossPlan(new LinkedHashSet<>(lost.stream().map(Site::name).toList()), List.copyOf(flows),
-                List.copyOf(refused), List.copyOf(narrow), unfit, slack(best, crossing, unplaced));
+        List<String> unfit = left.stream()
+                .filter(site -> topology.ownWork(site, 0) > site.capacity())
+                .map(Site::name)
+                .toList();
+        return new LossPlan(
+                new LinkedHashSet<>(lost.stream().map(Site::name).toList()),
+                List.copyOf(flows),
+                List.copyOf(refused),
+                List.copyOf(narrow),
+                unfit,
+                slack(best, crossing, unplaced));
     }
 
     /** Own of the classes worth most and what crosses of them, to what all survivors can do. */
     private double slack(double best, double crossing, double unplaced) {
-        double own = left.stream().mapToDouble(site -> topology.ownWork(site, best)).sum();
+        double own =
+                left.stream().mapToDouble(site -> topology.ownWork(site, best)).sum();
         double all = left.stream().mapToDouble(Site::capacity).sum() * (1 - topology.reserve());
         double slack = own + crossing == 0 ? 0 : (own + crossing) / all;
         return unplaced > NOTHING ? Math.max(slack, 1 + NOTHING) : slack;
@@ -130,8 +145,7 @@
             if (known[from][j] == null) {
                 full.add("no way from " + lost.get(from).name() + " to " + to);
             } else if (!inTime(kind, from, j)) {
-                full.add("way from " + lost.get(from).name() + " to " + to + " is too long for "
-                        + kind.name());
+                full.add("way from " + lost.get(from).name() + " to " + to + " is too long for " + kind.name());
             } else if (ways[from][j] <= NOTHING * Math.max(1, known[from][j].perSecond())) {
                 full.add("way from " + lost.get(from).name() + " to " + to + " is full");
             } else {
@@ -144,14 +158,16 @@
     /** Requests a second of a class from each lost site (first index) to each other one. */
     private double[][] place(Kind kind) {
         double[][] placed = new double[lost.size()][left.size()];
-        double[] open = lost.stream().mapToDouble(site -> site.asked().getOrDefault(kind.name(), 0.0))
+        double[] open = lost.stream()
+                .mapToDouble(site -> site.asked().getOrDefault(kind.name(), 0.0))
                 .toArray();
-        double[] free = Arrays.stream(room).map(work -> Math.max(0, work) / kind.work()).toArray();
+        double[] free =
+                Arrays.stream(room).map(work -> Math.max(0, work) / kind.work()).toArray();
         for (int round = 0; round < ROUNDS; round++) {
             spread(kind, placed, open, free);
         }
         // Each path fills something; the bound is against rounding alone.
-        for (int paths = 0; paths < MOST_PATHS && augment(kind, placed, open, free) > NOTHING; paths++) { }
+        for (int paths = 0; paths < MOST_PATHS && augment(kind, placed, open, free) > NOTHING; paths++) {}
         return placed;
     }
 
@@ -231,8 +247,8 @@
         return 0;
     }
 
-    private double along(Kind kind, double[][] placed, double[] open, double[] free, int[] fromSite,
-            int[] bySite, int end) {
+    private double along(
+            Kind kind, double[][] placed, double[] open, double[] free, int[] fromSite, int[] bySite, int end) {
         double most = free[end];
         int first = -1;
         for (int j = end; j >= 0; j = bySite[first]) {
--- a/src/main/java/pondridge/siteloss/RefusalOrder.java
+++ b/src/main/java/pondridge/siteloss/RefusalOrder.java
@@ -8,7 +8,7 @@
  * and then, so that nobody is always the one.
  */
 public final class RefusalOrder {
-    private RefusalOrder() { }
+    private RefusalOrder() {}
 
     /**
      * Whether it is among the part that finds room.
--- a/src/main/java/pondridge/siteloss/SitePlanSettings.java
+++ b/src/main/java/pondridge/siteloss/SitePlanSettings.java
@@ -15,7 +15,7 @@
 public final class SitePlanSettings {
     private static final double SECOND = 1e9;
 
-    private SitePlanSettings() { }
+    private SitePlanSettings() {}
 
     /** A file that holds a plan and nothing else. */
     public static Topology read(Path path) {
@@ -34,41 +34,62 @@
         List<Site> sites = new ArrayList<>();
         plan.section("sites").sections().forEach((name, section) -> sites.add(site(name, section, classes)));
         if (classes.isEmpty() || sites.size() < 2) {
-            throw plan.contradiction("sites",
-                    "expected two sites or more, and [site_plan.classes] one class or more");
+            throw plan.contradiction("sites", "expected two sites or more, and [site_plan.classes] one class or more");
         }
         List<Way> ways = new ArrayList<>();
-        plan.section("ways").sections().forEach((from, section) -> section.sections().forEach((to, way) -> {
-            for (String each : List.of(from, to)) {
-                if (sites.stream().noneMatch(site -> site.name().equals(each))) {
-                    throw way.contradiction("round_trip",
-                            "the way's end is no site of [site_plan.sites]: " + each);
-                }
-            }
-            if (from.equals(to)) {
-                throw way.contradiction("round_trip", "a way from a site to itself");
-            }
-            ways.add(new Way(from, to, way.fraction("per_second", 1e6, 0, 1e6),
-                    way.time("round_trip", "1ms", "0ms", "10s") / SECOND));
-        }));
+        plan.section("ways").sections().forEach((from, section) -> section.sections()
+                .forEach((to, way) -> {
+                    for (String each : List.of(from, to)) {
+                        if (sites.stream().noneMatch(site -> site.name().equals(each))) {
+                            throw way.contradiction(
+                                    "round_trip", "the way's end is no site of [site_plan.sites]: " + each);
+                        }
+                    }
+                    if (from.equals(to)) {
+                        throw way.contradiction("round_trip", "a way from a site to itself");
+                    }
+                    ways.add(new Way(
+                            from,
+                            to,
+                            way.fraction("per_second", 1e6, 0, 1e6),
+                            way.time("round_trip", "1ms", "0ms", "10s") / SECOND));
+                }));
         return new Topology(sites, classes, ways, reserve);
     }
 
     /** The section as text, which {@link #of} reads as the same topology; names must be bare keys of TOML. */
     public static String text(Topology topology) {
         StringBuilder text = new StringBuilder("[site_plan]\nreserve = " + topology.reserve() + '\n');
-        topology.classes().forEach(kind -> text.append("[site_plan.classes.").append(kind.name())
-                .append("]\nworth = ").append(kind.worth()).append("\nwork = \"").append(micros(kind.work()))
-                .append("us\"\naim = \"").append(micros(kind.aim())).append("us\"\n"));
+        topology.classes().forEach(kind -> text.append("[site_plan.classes.")
+                .append(kind.name())
+                .append("]\nworth = ")
+                .append(kind.worth())
+                .append("\nwork = \"")
+                .append(micros(kind.work()))
+                .append("us\"\naim = \"")
+                .append(micros(kind.aim()))
+                .append("us\"\n"));
         topology.sites().forEach(site -> {
-            text.append("[site_plan.sites.").append(site.name()).append("]\ncapacity = ")
-                    .append(site.capacity()).append("\n[site_plan.sites.").append(site.name())
+            text.append("[site_plan.sites.")
+                    .append(site.name())
+                    .append("]\ncapacity = ")
+                    .append(site.capacity())
+                    .append("\n[site_plan.sites.")
+                    .append(site.name())
                     .append(".asked]\n");
-            site.asked().forEach((kind, rate) -> text.append(kind).append(" = ").append(rate).append('\n'));
+            site.asked()
+                    .forEach((kind, rate) ->
+                            text.append(kind).append(" = ").append(rate).append('\n'));
         });
-        topology.ways().forEach(way -> text.append("[site_plan.ways.").append(way.from()).append('.')
-                .append(way.to()).append("]\nper_second = ").append(way.perSecond())
-                .append("\nround_trip = \"").append(micros(way.roundTrip())).append("us\"\n"));
+        topology.ways().forEach(way -> text.append("[site_plan.ways.")
+                .append(way.from())
+                .append('.')
+                .append(way.to())
+                .append("]\nper_second = ")
+                .append(way.perSecond())
+                .append("\nround_trip = \"")
+                .append(micros(way.roundTrip()))
+                .append("us\"\n"));
         return text.toString();
     }
 
@@ -77,7 +98,9 @@
     }
 
     private static Kind kind(String name, Section section) {
-        return new Kind(name, section.fraction("worth", 1, 0, 1e6),
+        return new Kind(
+                name,
+                section.fraction("worth", 1, 0, 1e6),
                 section.time("work", "-", "1us", "1min") / SECOND,
                 section.time("aim", "-", "1ms", "1min") / SECOND);
     }
@@ -88,8 +111,7 @@
         classes.forEach(kind -> asked.put(kind.name(), rates.fraction(kind.name(), 0, 0, 1e6)));
         double capacity = section.fraction("capacity", -1, 0, 1e6);
         if (capacity < 0) {
-            throw section.contradiction("capacity",
-                    "expected how many requests its servers can run at a time");
+            throw section.contradiction("capacity", "expected how many requests its servers can run at a time");
         }
         return new Site(name, capacity, asked);
     }
--- a/src/main/java/pondridge/siteloss/Split.java
+++ b/src/main/java/pondridge/siteloss/Split.java
@@ -19,17 +19,19 @@
 public final class Split {
     /** Rests on no plan: the caller's own order, and all may go. */
     public static final Split NONE = new Split(null, "", List.of());
+
     private static final long WHERE = 1;
     private static final long WHETHER = 2;
     /** Plans that are kept; with up to seven sites that is one for each set of sites that can be reached. */
     private static final int MOST_PLANS = 64;
+
     private final Topology topology;
     private final String own;
     private final List<String> classes;
     private final Map<Set<String>, Plan> plans = new HashMap<>();
 
     /** By the classes' numbers: what goes to which site, and what part of all has room. */
-    private record Plan(List<Map<String, Double>> parts, List<Double> admitted) { }
+    private record Plan(List<Map<String, Double>> parts, List<Double> admitted) {}
 
     private Split(Topology topology, String own, List<String> classes) {
         this.topology = topology;
@@ -69,15 +71,20 @@
     }
 
     private Plan made(Set<String> reached) {
-        Topology seen = new Topology(topology.sites(), topology.classes(), topology.ways().stream()
-                .filter(way -> !way.from().equals(own) || reached.contains(way.to())).toList(),
+        Topology seen = new Topology(
+                topology.sites(),
+                topology.classes(),
+                topology.ways().stream()
+                        .filter(way -> !way.from().equals(own) || reached.contains(way.to()))
+                        .toList(),
                 topology.reserve());
         LossPlan plan = LossPlanner.plan(seen, Set.of(own));
         List<Map<String, Double>> parts = new ArrayList<>();
         List<Double> admitted = new ArrayList<>();
         for (String name : classes) {
             Map<String, Double> part = new TreeMap<>();
-            plan.flows().stream().filter(flow -> flow.kind().equals(name))
+            plan.flows().stream()
+                    .filter(flow -> flow.kind().equals(name))
                     .forEach(flow -> part.put(flow.to(), flow.perSecond()));
             parts.add(part);
             admitted.add(plan.admitted(own, name));
@@ -87,7 +94,8 @@
 
     /** Whether a request is among those for which there is room at the sites that can be reached. */
     public boolean admits(int kind, long key, Set<String> reached) {
-        return topology == null || RefusalOrder.admits(key, WHETHER, plan(reached).admitted.get(kind));
+        return topology == null
+                || RefusalOrder.admits(key, WHETHER, plan(reached).admitted.get(kind));
     }
 
     /**
--- a/src/main/java/pondridge/siteloss/Topology.java
+++ b/src/main/java/pondridge/siteloss/Topology.java
@@ -25,7 +25,8 @@
         public Site {
             require(!name.isEmpty() && capacity >= 0 && Double.isFinite(capacity), "site " + name);
             asked = Map.copyOf(asked);
-            require(asked.values().stream().allMatch(rate -> rate >= 0 && Double.isFinite(rate)),
+            require(
+                    asked.values().stream().allMatch(rate -> rate >= 0 && Double.isFinite(rate)),
                     "site " + name + ": requests a second");
         }
     }
@@ -39,8 +40,9 @@
      */
     public record Kind(String name, double worth, double work, double aim) {
         public Kind {
-            require(!name.isEmpty() && worth >= 0 && work > 0 && aim > 0
-                    && Double.isFinite(worth + work + aim), "class " + name);
+            require(
+                    !name.isEmpty() && worth >= 0 && work > 0 && aim > 0 && Double.isFinite(worth + work + aim),
+                    "class " + name);
         }
     }
 
@@ -52,8 +54,12 @@
      */
     public record Way(String from, String to, double perSecond, double roundTrip) {
         public Way {
-            require(perSecond >= 0 && roundTrip >= 0 && Double.isFinite(perSecond + roundTrip)
-                    && !Objects.equals(from, to), "way from " + from + " to " + to);
+            require(
+                    perSecond >= 0
+                            && roundTrip >= 0
+                            && Double.isFinite(perSecond + roundTrip)
+                            && !Objects.equals(from, to),
+                    "way from " + from + " to " + to);
         }
     }
 
@@ -66,18 +72,21 @@
         List<String> kinds = classes.stream().map(Kind::name).toList();
         require(!sites.isEmpty() && names.stream().distinct().count() == names.size(), "sites");
         require(!classes.isEmpty() && kinds.stream().distinct().count() == kinds.size(), "classes");
-        require(ways.stream().allMatch(way -> names.contains(way.from) && names.contains(way.to)),
+        require(
+                ways.stream().allMatch(way -> names.contains(way.from) && names.contains(way.to)),
                 "ways: unknown site");
-        require(ways.stream().map(way -> List.of(way.from, way.to)).distinct().count() == ways.size(),
+        require(
+                ways.stream().map(way -> List.of(way.from, way.to)).distinct().count() == ways.size(),
                 "ways: a pair twice");
-        require(sites.stream().allMatch(site -> kinds.containsAll(site.asked.keySet())),
-                "sites: unknown class");
+        require(sites.stream().allMatch(site -> kinds.containsAll(site.asked.keySet())), "sites: unknown class");
     }
 
     /** What a site's own clients ask, in seconds of work a second, of classes worth at least so much. */
     double ownWork(Site site, double leastWorth) {
-        return classes.stream().filter(kind -> kind.worth >= leastWorth)
-                .mapToDouble(kind -> site.asked.getOrDefault(kind.name, 0.0) * kind.work).sum();
+        return classes.stream()
+                .filter(kind -> kind.worth >= leastWorth)
+                .mapToDouble(kind -> site.asked.getOrDefault(kind.name, 0.0) * kind.work)
+                .sum();
     }
 
     private static void require(boolean holds, String what) {
--- a/src/main/java/pondridge/standin/Desk.java
+++ b/src/main/java/pondridge/standin/Desk.java
@@ -11,7 +11,7 @@
     private static final byte[] FILLING = " ".repeat(200).getBytes(StandardCharsets.US_ASCII);
 
     /** A request, whole. */
-    record Order(String id, OrderClass kind, String key) { }
+    record Order(String id, OrderClass kind, String key) {}
 
     private final String name;
     private final String zone;
@@ -40,10 +40,13 @@
 
     /** The class that a gRPC path names: its method is the class's name without dashes. */
     static CharSequence kind(CharSequence path) {
-        String method = path == null ? "" : path.toString().substring(path.toString().lastIndexOf('/') + 1);
-        return OrderClass.USUAL.stream().map(OrderClass::name).filter(name -> name.replace("-",
-                "").equals(method))
-                .findFirst().orElse("");
+        String method =
+                path == null ? "" : path.toString().substring(path.toString().lastIndexOf('/') + 1);
+        return OrderClass.USUAL.stream()
+                .map(OrderClass::name)
+                .filter(name -> name.replace("-", "").equals(method))
+                .findFirst()
+                .orElse("");
     }
 
     /** A body as gRPC's message, or as what a fault makes of it. */
--- a/src/main/java/pondridge/standin/Doors.java
+++ b/src/main/java/pondridge/standin/Doors.java
@@ -13,7 +13,7 @@
  * thread.
  */
 public final class Doors {
-    private record Still(long from, long until) { }
+    private record Still(long from, long until) {}
 
     private final Set<InetSocketAddress> killed = ConcurrentHashMap.newKeySet();
     private final Map<InetSocketAddress, List<Still>> still = new ConcurrentHashMap<>();
--- a/src/main/java/pondridge/standin/FaultScript.java
+++ b/src/main/java/pondridge/standin/FaultScript.java
@@ -49,9 +49,12 @@
             int equals = part.indexOf('=');
             String name = equals < 0 ? part : part.substring(0, equals);
             Fault fault = Arrays.stream(Fault.values())
-                    .filter(each -> word(each).equals(name.trim())).findFirst()
+                    .filter(each -> word(each).equals(name.trim()))
+                    .findFirst()
                     .orElseThrow(() -> new IllegalArgumentException("unknown fault: " + name.trim()
-                            + " (known: " + Arrays.stream(Fault.values()).map(FaultScript::word)
+                            + " (known: "
+                            + Arrays.stream(Fault.values())
+                                    .map(FaultScript::word)
                                     .collect(Collectors.joining(", ")) + ")"));
             double share;
             try {
--- a/src/main/java/pondridge/standin/OrderClass.java
+++ b/src/main/java/pondridge/standin/OrderClass.java
@@ -12,7 +12,11 @@
  */
 public record OrderClass(String name, Effect effect, boolean perZone, long memory) {
     /** What running a request twice does: nothing; nothing while its key is remembered; harm. */
-    public enum Effect { SAFE, KEYED, UNSAFE }
+    public enum Effect {
+        SAFE,
+        KEYED,
+        UNSAFE
+    }
 
     /** Look-ups, holds that a zone remembers for 1 s, confirmations that all do for 7.5 s, and bookings. */
     public static final List<OrderClass> USUAL = List.of(
--- a/src/main/java/pondridge/standin/redis/Keyspace.java
+++ b/src/main/java/pondridge/standin/redis/Keyspace.java
@@ -93,8 +93,11 @@
     /** What {@code TYPE} says. */
     String kind(String key, long now) {
         Entry entry = live(key, now);
-        return entry == null ? "none" : entry.value instanceof String ? "string"
-                : entry.value instanceof HashMap ? "hash" : entry.value instanceof Scores ? "zset" : "set";
+        return entry == null
+                ? "none"
+                : entry.value instanceof String
+                        ? "string"
+                        : entry.value instanceof HashMap ? "hash" : entry.value instanceof Scores ? "zset" : "set";
     }
 
     /** Sets a text, which has no expiry then. */
@@ -143,7 +146,8 @@
             return 1 + text.length();
         }
         long sum = 0;
-        Iterable<?> parts = value instanceof HashMap<?, ?> hash ? hash.entrySet()
+        Iterable<?> parts = value instanceof HashMap<?, ?> hash
+                ? hash.entrySet()
                 : value instanceof Scores scores ? scores.of.keySet() : (Members) value;
         for (Object part : parts) {
             sum += ENTRY + part.toString().length();
@@ -154,7 +158,7 @@
     /** Lets the longest unused go until the bound is kept; {@code spared} is what was just written. */
     void evict(String spared) {
         for (Iterator<Map.Entry<String, Entry>> oldest = entries.entrySet().iterator();
-                used > most && oldest.hasNext();) {
+                used > most && oldest.hasNext(); ) {
             Map.Entry<String, Entry> each = oldest.next();
             if (!each.getKey().equals(spared)) {
                 used -= each.getValue().size;
@@ -210,7 +214,8 @@
         /** Members by score, then by name. */
         List<Map.Entry<String, Double>> sorted() {
             List<Map.Entry<String, Double>> all = new ArrayList<>(of.entrySet());
-            all.sort((a, b) -> a.getValue().equals(b.getValue()) ? a.getKey().compareTo(b.getKey())
+            all.sort((a, b) -> a.getValue().equals(b.getValue())
+                    ? a.getKey().compareTo(b.getKey())
                     : Double.compare(a.getValue(), b.getValue()));
             return all;
         }
--- a/src/main/java/pondridge/standin/redis/RequestParser.java
+++ b/src/main/java/pondridge/standin/redis/RequestParser.java
@@ -42,7 +42,8 @@
     void feed(byte[] more) {
         if (to + more.length > held.length) {
             byte[] room = to - from + more.length > held.length
-                    ? new byte[Math.max(2 * held.length, to - from + more.length)] : held;
+                    ? new byte[Math.max(2 * held.length, to - from + more.length)]
+                    : held;
             System.arraycopy(held, from, room, 0, to - from);
             held = room;
             to -= from;
--- a/src/main/java/pondridge/standin/redis/Session.java
+++ b/src/main/java/pondridge/standin/redis/Session.java
@@ -12,6 +12,7 @@
     final long id;
     /** Where replies go that were not asked for. */
     final Consumer<Reply> pushes;
+
     final Set<String> channels = new TreeSet<>();
     final Set<String> watched = new HashSet<>();
     boolean resp3;
--- a/src/main/java/pondridge/store/Budgets.java
+++ b/src/main/java/pondridge/store/Budgets.java
@@ -8,7 +8,7 @@
  */
 public interface Budgets {
     /** A budget by its name, the same at all members, and what all together may use of it in one slot. */
-    record Budget(String name, double most) { }
+    record Budget(String name, double most) {}
 
     /**
      * Budgets of which a part is wanted in the next slot.
--- a/src/main/java/pondridge/store/ColdBudgets.java
+++ b/src/main/java/pondridge/store/ColdBudgets.java
@@ -39,14 +39,20 @@
         servers.clear();
         started.entrySet().stream()
                 .sorted(Comparator.comparingLong((Map.Entry<String, Engine.Start> each) ->
-                        each.getValue().age())
+                                each.getValue().age())
                         .thenComparing(Map.Entry::getKey))
-                .limit(shares.coldServers()).forEach(each -> {
+                .limit(shares.coldServers())
+                .forEach(each -> {
                     String name = KIND + each.getKey() + ':' + each.getValue().startedMs();
                     if (name.length() <= LONGEST_NAME) {
                         servers.put(name, each.getKey());
-                        wanted.add(new Budget(name, most(limits, shares.coldPerSecond(),
-                                each.getValue().age() + ahead + slot / 2, slot)));
+                        wanted.add(new Budget(
+                                name,
+                                most(
+                                        limits,
+                                        shares.coldPerSecond(),
+                                        each.getValue().age() + ahead + slot / 2,
+                                        slot)));
                     }
                 });
         return wanted;
--- a/src/main/java/pondridge/store/Hearsay.java
+++ b/src/main/java/pondridge/store/Hearsay.java
@@ -26,16 +26,17 @@
      * @param quorum sidecars that must find a server slow
      * @param most the part of the list that may be doubted
      */
-    record Limits(long oldest, int least, int quorum, double most) { }
+    record Limits(long oldest, int least, int quorum, double most) {}
 
     /** A report that came, and when it was written, by age. */
-    record Heard(String member, long ageMs, Report report) { }
+    record Heard(String member, long ageMs, Report report) {}
 
     private static final double MOST_BAD = 0.5;
     private static final double CONFUSED = 0.5;
     private static final int FEW = 4;
     /** Of one sidecar's answers from a server no more count: none outvotes the others by its traffic. */
     private static final int HEAVIEST = 3;
+
     private final Limits limits;
     private long dropped;
 
@@ -78,8 +79,9 @@
         for (Heard each : youngest.values()) {
             List<ServerSum> sums = counted(each);
             dropped += sums.isEmpty() && !each.report.sums().isEmpty() ? 1 : 0;
-            sums.stream().filter(sum -> listed.contains(sum.uid()))
-                    .forEach(sum -> seen.computeIfAbsent(sum.uid(), uid -> new ArrayList<>()).add(sum));
+            sums.stream().filter(sum -> listed.contains(sum.uid())).forEach(sum -> seen.computeIfAbsent(
+                            sum.uid(), uid -> new ArrayList<>())
+                    .add(sum));
         }
         Map<String, Double> worst = new HashMap<>();
         seen.forEach((uid, sums) -> {
@@ -87,13 +89,15 @@
             int all = weight(sums);
             if (slow.size() >= limits.quorum && all >= limits.least && 2 * weight(slow) > all) {
                 // The middle one, so that nobody makes it worse than most find it.
-                worst.put(uid, slow.stream().map(ServerSum::ratio).sorted().toList()
-                        .get((slow.size() - 1) / 2));
+                worst.put(
+                        uid,
+                        slow.stream().map(ServerSum::ratio).sorted().toList().get((slow.size() - 1) / 2));
             }
         });
         Map<String, Double> doubted = new LinkedHashMap<>();
         worst.entrySet().stream()
-                .sorted(Comparator.<Map.Entry<String, Double>>comparingDouble(Map.Entry::getValue).reversed()
+                .sorted(Comparator.<Map.Entry<String, Double>>comparingDouble(Map.Entry::getValue)
+                        .reversed()
                         .thenComparing(Map.Entry::getKey))
                 .limit((long) (limits.most * listed.size()))
                 .forEach(each -> doubted.put(each.getKey(), each.getValue()));
--- a/src/main/java/pondridge/store/Leases.java
+++ b/src/main/java/pondridge/store/Leases.java
@@ -24,13 +24,14 @@
     static final double MOST_SHARES = 3;
     /** The least weight: who has just begun has no traffic to show. */
     static final double LEAST_SHARES = 0.1;
+
     private static final long MILLI = 1_000_000;
 
     /** What is asked of a counter: {@code want} more, of {@code most} in all; 0 need not be asked. */
-    record Ask(String name, long slot, long want, long most) { }
+    record Ask(String name, long slot, long want, long most) {}
 
     /** So many may be used between two times of this member's clock, in nanoseconds. */
-    record Grant(String name, long count, long from, long until) { }
+    record Grant(String name, long count, long from, long until) {}
 
     private final long slotMs;
     private final Random random;
@@ -87,7 +88,7 @@
         }
         // The store replied between the two times: the slot begins no later than counted from the later one
         // and ends no sooner than counted from the earlier one.
-        return new Grant(ask.name, Math.min(left, ask.want), toldAt + begins * MILLI,
-                askedAt + (begins + slotMs) * MILLI);
+        return new Grant(
+                ask.name, Math.min(left, ask.want), toldAt + begins * MILLI, askedAt + (begins + slotMs) * MILLI);
     }
 }
--- a/src/main/java/pondridge/store/Members.java
+++ b/src/main/java/pondridge/store/Members.java
@@ -10,7 +10,7 @@
  * nanoseconds, on this sidecar's clock.
  */
 final class Members {
-    private record Seen(long at, long count) { }
+    private record Seen(long at, long count) {}
 
     private final long memory;
     private final long settles;
@@ -55,7 +55,11 @@
     void rates(List<Double> told, double own) {
         List<Double> said = new ArrayList<>(told);
         said.add(own);
-        meanRate = said.stream().filter(rate -> rate > 0).mapToDouble(rate -> rate).average().orElse(0);
+        meanRate = said.stream()
+                .filter(rate -> rate > 0)
+                .mapToDouble(rate -> rate)
+                .average()
+                .orElse(0);
     }
 
     /** This member's traffic beside the mean of all. */
--- a/src/main/java/pondridge/store/OwnSums.java
+++ b/src/main/java/pondridge/store/OwnSums.java
@@ -14,6 +14,7 @@
 final class OwnSums {
     /** One attempt counts as at most so many times the usual. */
     static final double MOST_SLOW = 10_000;
+
     private static final double NEW = 0.02;
 
     private static final class Sum {
--- a/src/main/java/pondridge/store/Report.java
+++ b/src/main/java/pondridge/store/Report.java
@@ -20,6 +20,7 @@
 record Report(long at, double rate, List<ServerSum> sums) {
     /** The version of keys and values. */
     static final int VERSION = 1;
+
     private static final ObjectMapper JSON = new ObjectMapper();
     private static final int LONGEST = 64 << 10;
     private static final double MOST_RATE = 1e7;
@@ -27,11 +28,14 @@
     private static final int FEW = 30;
 
     String write() {
-        ObjectNode root = JSON.createObjectNode().put("v", VERSION).put("at", at).put("r",
-                Math.round(rate * 1000) / 1000.0);
+        ObjectNode root =
+                JSON.createObjectNode().put("v", VERSION).put("at", at).put("r", Math.round(rate * 1000) / 1000.0);
         ArrayNode all = root.putArray("s");
         for (ServerSum sum : sums) {
-            all.addArray().add(sum.uid()).add(sum.answers()).add(Math.round(sum.slowness() * 100) / 100.0)
+            all.addArray()
+                    .add(sum.uid())
+                    .add(sum.answers())
+                    .add(Math.round(sum.slowness() * 100) / 100.0)
                     .add(sum.bad());
         }
         return root.toString();
@@ -53,8 +57,10 @@
         }
         try {
             JsonNode root = JSON.readTree(text);
-            if (!root.path("v").isInt() || root.path("v").asInt() != VERSION
-                    || !root.path("at").isIntegralNumber() || !root.path("s").isArray()
+            if (!root.path("v").isInt()
+                    || root.path("v").asInt() != VERSION
+                    || !root.path("at").isIntegralNumber()
+                    || !root.path("s").isArray()
                     || root.path("s").size() > mostServers) {
                 return null;
             }
@@ -64,12 +70,17 @@
             }
             List<ServerSum> sums = new ArrayList<>();
             for (JsonNode each : root.path("s")) {
-                if (!each.path(0).isTextual() || !each.path(1).isInt() || !each.path(2).isNumber()
+                if (!each.path(0).isTextual()
+                        || !each.path(1).isInt()
+                        || !each.path(2).isNumber()
                         || !each.path(3).isInt()) {
                     return null;
                 }
-                ServerSum sum = new ServerSum(each.path(0).asText(), each.path(1).asInt(),
-                        each.path(2).asDouble(), each.path(3).asInt());
+                ServerSum sum = new ServerSum(
+                        each.path(0).asText(),
+                        each.path(1).asInt(),
+                        each.path(2).asDouble(),
+                        each.path(3).asInt());
                 if (!sum.sound()) {
                     return null;
                 }
--- a/src/main/java/pondridge/store/ServerSum.java
+++ b/src/main/java/pondridge/store/ServerSum.java
@@ -15,8 +15,13 @@
 
     /** Whether it can be what it says: nothing else may enter a decision. */
     boolean sound() {
-        return !uid.isEmpty() && uid.length() <= LONGEST_UID && answers > 0 && answers <= MOST_ANSWERS
-                && bad >= 0 && bad <= answers && slowness >= 0
+        return !uid.isEmpty()
+                && uid.length() <= LONGEST_UID
+                && answers > 0
+                && answers <= MOST_ANSWERS
+                && bad >= 0
+                && bad <= answers
+                && slowness >= 0
                 && slowness <= OwnSums.MOST_SLOW * answers * 1.001;
     }
 
--- a/src/main/java/pondridge/store/SharedStore.java
+++ b/src/main/java/pondridge/store/SharedStore.java
@@ -29,7 +29,7 @@
     private static final int REPORTING = 8;
 
     /** A part that was asked for, and by whom. */
-    private record Asked(Leases.Ask ask, Budgets by) { }
+    private record Asked(Leases.Ask ask, Budgets by) {}
 
     private final EventLoop loop;
     private final StoreSettings settings;
@@ -59,9 +59,13 @@
      * @param doubts told after each exchange which servers others find slow, and how slow; empty when the
      *     store can't be heard
      */
-    public SharedStore(EventLoop loop, StoreSettings settings, LongSupplier asked,
+    public SharedStore(
+            EventLoop loop,
+            StoreSettings settings,
+            LongSupplier asked,
             Supplier<Set<String>> listed,
-            Consumer<Map<String, Double>> doubts, long seed) {
+            Consumer<Map<String, Double>> doubts,
+            long seed) {
         long now = System.nanoTime();
         this.loop = loop;
         this.settings = settings;
@@ -76,8 +80,7 @@
         this.fleet = new Members(REMEMBERED, settings.shares().settle());
         this.leases = new Leases(settings.shares().slot() / 1_000_000, random.nextLong());
         // Drawn within the period: sidecars that start together do not write together.
-        this.timer = loop.schedule(this::tick, (long) (random.nextDouble() * settings.period()),
-                TimeUnit.NANOSECONDS);
+        this.timer = loop.schedule(this::tick, (long) (random.nextDouble() * settings.period()), TimeUnit.NANOSECONDS);
     }
 
     /** From now on parts of these budgets are asked for, too. */
@@ -104,8 +107,8 @@
     }
 
     private void tick() {
-        timer = loop.schedule(this::tick, (long) (settings.period() * (0.9 + 0.2 * random.nextDouble())),
-                TimeUnit.NANOSECONDS);
+        timer = loop.schedule(
+                this::tick, (long) (settings.period() * (0.9 + 0.2 * random.nextDouble())), TimeUnit.NANOSECONDS);
         long now = System.nanoTime();
         if (asking || !circuit.may(now)) {
             return;
@@ -123,11 +126,11 @@
             if (each.ask.want() == 0) {
                 continue;
             }
-            String counter = key("part", each.ask.name() + ':' + settings.shares().slot() / 1_000_000 + ':'
-                    + each.ask.slot());
+            String counter =
+                    key("part", each.ask.name() + ':' + settings.shares().slot() / 1_000_000 + ':' + each.ask.slot());
             commands.add(List.of("INCRBY", counter, Long.toString(each.ask.want())));
-            commands.add(List.of("PEXPIRE", counter,
-                    Long.toString(4 * settings.shares().slot() / 1_000_000)));
+            commands.add(List.of(
+                    "PEXPIRE", counter, Long.toString(4 * settings.shares().slot() / 1_000_000)));
         }
         link.ask(commands, replies -> firstTold(replies, asks, now));
     }
@@ -137,8 +140,11 @@
         if (fleet.settled(now)) {
             double weight = fleet.weight(demand.perSecond());
             for (Budgets each : budgets) {
-                leases.asks(each.wanted(settings.shares().slot(), leases.ahead(storeNow(now))),
-                        fleet.most(now), weight, storeNow(now))
+                leases.asks(
+                                each.wanted(settings.shares().slot(), leases.ahead(storeNow(now))),
+                                fleet.most(now),
+                                weight,
+                                storeNow(now))
                         .forEach(ask -> asks.add(new Asked(ask, each)));
             }
         }
@@ -156,19 +162,22 @@
                 reply = replies.get(at);
                 at += 2;
             }
-            Leases.Grant grant = reply instanceof Long counter
-                    ? leases.told(its.ask, counter, storeMs, askedAt, now) : null;
+            Leases.Grant grant =
+                    reply instanceof Long counter ? leases.told(its.ask, counter, storeMs, askedAt, now) : null;
             if (grant == null) {
                 count("parts_not_told");
                 continue;
             }
             count(grant.count() > 0 ? "parts" : "parts_none_left");
-            loop.schedule(() -> {
-                long valid = grant.until() - System.nanoTime();
-                if (valid > 0) {
-                    its.by.granted(grant.name(), grant.count(), valid);
-                }
-            }, Math.max(0, grant.from() - now), TimeUnit.NANOSECONDS);
+            loop.schedule(
+                    () -> {
+                        long valid = grant.until() - System.nanoTime();
+                        if (valid > 0) {
+                            its.by.granted(grant.name(), grant.count(), valid);
+                        }
+                    },
+                    Math.max(0, grant.from() - now),
+                    TimeUnit.NANOSECONDS);
         }
     }
 
@@ -186,13 +195,19 @@
         String slot = key("members", Long.toString(at / SLOT_MS));
         String before = key("members", Long.toString(at / SLOT_MS - 1));
         String read = Integer.toString(settings.read());
-        return List.of(List.of("TIME"),
-                List.of("SET", key("report", settings.member()),
-                        new Report(at, demand.perSecond(), own.lately(settings.servers(), now)).write(), "PX",
+        return List.of(
+                List.of("TIME"),
+                List.of(
+                        "SET",
+                        key("report", settings.member()),
+                        new Report(at, demand.perSecond(), own.lately(settings.servers(), now)).write(),
+                        "PX",
                         Long.toString(Math.max(1, settings.hearsay().oldest()))),
                 List.of("SADD", slot, settings.member()),
                 List.of("PEXPIRE", slot, Long.toString(3 * SLOT_MS)),
-                List.of("SCARD", slot), List.of("SCARD", before), List.of("SRANDMEMBER", slot, read),
+                List.of("SCARD", slot),
+                List.of("SCARD", before),
+                List.of("SRANDMEMBER", slot, read),
                 List.of("SRANDMEMBER", before, read));
     }
 
@@ -235,8 +250,10 @@
     private static Long time(Object reply) {
         try {
             return reply instanceof List<?> parts && parts.size() == 2
-                    ? Math.addExact(Math.multiplyExact(Long.parseLong(String.valueOf(parts.get(0))), 1_000L),
-                            Long.parseLong(String.valueOf(parts.get(1))) / 1_000) : null;
+                    ? Math.addExact(
+                            Math.multiplyExact(Long.parseLong(String.valueOf(parts.get(0))), 1_000L),
+                            Long.parseLong(String.valueOf(parts.get(1))) / 1_000)
+                    : null;
         } catch (NumberFormatException | ArithmeticException e) {
             return null;
         }
@@ -260,8 +277,13 @@
             }
         }
         over(now - began, now);
-        fleet.rates(heard.stream().filter(each -> Math.abs(each.ageMs()) <= settings.hearsay().oldest())
-                .map(each -> each.report().soundRate(settings.period())).toList(), demand.perSecond());
+        fleet.rates(
+                heard.stream()
+                        .filter(each ->
+                                Math.abs(each.ageMs()) <= settings.hearsay().oldest())
+                        .map(each -> each.report().soundRate(settings.period()))
+                        .toList(),
+                demand.perSecond());
         doubts.accept(hearsay.doubted(heard, listed.get()));
     }
 
--- a/src/main/java/pondridge/store/StoreCircuit.java
+++ b/src/main/java/pondridge/store/StoreCircuit.java
@@ -17,7 +17,7 @@
      * @param firstPause how long it is open first
      * @param longestPause the most that doubling makes of it
      */
-    record Limits(long slow, int misses, long firstPause, long longestPause) { }
+    record Limits(long slow, int misses, long firstPause, long longestPause) {}
 
     private final Limits limits;
     private final Random random;
--- a/src/main/java/pondridge/store/StoreLink.java
+++ b/src/main/java/pondridge/store/StoreLink.java
@@ -43,7 +43,7 @@
     private static final int MOST_DEPTH = 4;
 
     /** Replies to one exchange: texts, numbers, lists, {@code null} for nothing, {@link StoreError}. */
-    record StoreError(String text) { }
+    record StoreError(String text) {}
 
     private final EventLoop loop;
     private final StoreSettings settings;
@@ -77,25 +77,34 @@
     }
 
     private void connect(List<List<String>> commands) {
-        new Bootstrap().group(loop).channel(NioSocketChannel.class)
-                .option(ChannelOption.CONNECT_TIMEOUT_MILLIS,
-                        (int) Math.max(1, settings.within() / 1_000_000))
+        new Bootstrap()
+                .group(loop)
+                .channel(NioSocketChannel.class)
+                .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, (int) Math.max(1, settings.within() / 1_000_000))
                 .option(ChannelOption.TCP_NODELAY, true)
                 .handler(new ChannelInitializer<Channel>() {
                     @Override
                     protected void initChannel(Channel made) {
                         if (settings.tls() != null) {
-                            made.pipeline().addLast(settings.tls().newHandler(made.alloc(),
-                                    settings.serverName(), settings.address().getPort()));
+                            made.pipeline()
+                                    .addLast(settings.tls()
+                                            .newHandler(
+                                                    made.alloc(),
+                                                    settings.serverName(),
+                                                    settings.address().getPort()));
                         }
-                        made.pipeline().addLast(new Bound(), new RedisDecoder(LONGEST_LINE,
-                                        FixedRedisMessagePool.INSTANCE),
-                                new RedisBulkStringAggregator(), new RedisArrayAggregator(MOST_ELEMENTS,
-                                        MOST_DEPTH),
-                                new RedisEncoder(), new Replies());
+                        made.pipeline()
+                                .addLast(
+                                        new Bound(),
+                                        new RedisDecoder(LONGEST_LINE, FixedRedisMessagePool.INSTANCE),
+                                        new RedisBulkStringAggregator(),
+                                        new RedisArrayAggregator(MOST_ELEMENTS, MOST_DEPTH),
+                                        new RedisEncoder(),
+                                        new Replies());
                     }
                 })
-                .connect(settings.address()).addListener((ChannelFutureListener) made -> {
+                .connect(settings.address())
+                .addListener((ChannelFutureListener) made -> {
                     if (!made.isSuccess()) {
                         end(null);
                     } else if (asker == null) {
@@ -105,8 +114,11 @@
                         List<List<String>> all = new ArrayList<>(commands);
                         if (!settings.login().password().isEmpty()) {
                             String password = settings.login().password();
-                            all.add(0, settings.login().user().equals("default") ? List.of("AUTH", password)
-                                    : List.of("AUTH", settings.login().user(), password));
+                            all.add(
+                                    0,
+                                    settings.login().user().equals("default")
+                                            ? List.of("AUTH", password)
+                                            : List.of("AUTH", settings.login().user(), password));
                         }
                         write(all, all.size() - commands.size());
                     }
@@ -129,8 +141,8 @@
         for (List<String> command : commands) {
             List<RedisMessage> words = new ArrayList<>();
             for (String word : command) {
-                words.add(new FullBulkStringRedisMessage(
-                        Unpooled.wrappedBuffer(word.getBytes(StandardCharsets.UTF_8))));
+                words.add(
+                        new FullBulkStringRedisMessage(Unpooled.wrappedBuffer(word.getBytes(StandardCharsets.UTF_8))));
             }
             channel.write(new ArrayRedisMessage(words));
         }
@@ -181,8 +193,7 @@
             }
             return values;
         }
-        return new StoreError(message instanceof ErrorRedisMessage error ? error.content()
-                : message.toString());
+        return new StoreError(message instanceof ErrorRedisMessage error ? error.content() : message.toString());
     }
 
     /** Ends an exchange that brings more than it may. */
--- a/src/main/java/pondridge/store/StoreSettings.java
+++ b/src/main/java/pondridge/store/StoreSettings.java
@@ -35,9 +35,22 @@
  * @param circuit when the store is left alone
  * @param shares budgets that all members have together
  */
-public record StoreSettings(InetSocketAddress address, SslContext tls, String serverName, Login login,
-        String prefix, String member, long period, long within, int read, int servers, int replyBytes,
-        double slow, Hearsay.Limits hearsay, StoreCircuit.Limits circuit, Shares shares) {
+public record StoreSettings(
+        InetSocketAddress address,
+        SslContext tls,
+        String serverName,
+        Login login,
+        String prefix,
+        String member,
+        long period,
+        long within,
+        int read,
+        int servers,
+        int replyBytes,
+        double slow,
+        Hearsay.Limits hearsay,
+        StoreCircuit.Limits circuit,
+        Shares shares) {
     /**
      * Who this is to the store.
      *
@@ -60,7 +73,7 @@
      * @param coldServers at a time, the youngest
      * @param settle members must have been counted for so long before their number is gone by
      */
-    public record Shares(double coldPerSecond, long slot, int coldServers, long settle) { }
+    public record Shares(double coldPerSecond, long slot, int coldServers, long settle) {}
 
     private static final String NAME = "[A-Za-z0-9._-]{1,64}";
 
@@ -68,37 +81,58 @@
     public static StoreSettings of(SettingsFile file, Path folder) {
         Section section = file.section("store");
         InetSocketAddress address = address(section, section.text("address", "none"));
-        String serverName = section.text("server_name",
-                address == null ? "none" : address.getAddress().getHostAddress());
+        String serverName = section.text(
+                "server_name", address == null ? "none" : address.getAddress().getHostAddress());
         SslContext tls = tls(section, folder, section.text("authorities", "none"));
-        Login login = new Login(section.text("user", "default"),
-                password(section, folder, section.text("password_file", "none")));
+        Login login = new Login(
+                section.text("user", "default"), password(section, folder, section.text("password_file", "none")));
         String prefix = name(section, "prefix", section.text("prefix", "bankflow"));
-        String member = name(section, "member", section.text("member",
-                String.format(Locale.ROOT, "%016x", ThreadLocalRandom.current().nextLong())));
+        String member = name(
+                section,
+                "member",
+                section.text(
+                        "member",
+                        String.format(
+                                Locale.ROOT,
+                                "%016x",
+                                ThreadLocalRandom.current().nextLong())));
         long period = section.time("period", "1s", "20ms", "1min");
         long within = section.time("within", "250ms", "1ms", "10s");
         if (within > period) {
             throw section.contradiction("within", "longer than period: exchanges would overlap");
         }
-        Shares shares = new Shares(section.fraction("cold_per_second", 0, 0, 1e6),
-                section.time("slot", "1500ms", "20ms", "1min"), section.number("cold_servers", 16, 1, 256),
+        Shares shares = new Shares(
+                section.fraction("cold_per_second", 0, 0, 1e6),
+                section.time("slot", "1500ms", "20ms", "1min"),
+                section.number("cold_servers", 16, 1, 256),
                 section.time("settle", "10s", "10ms", "10min"));
         if (shares.slot < period + period / 4) {
             throw section.contradiction("slot", "less than 5/4 of period: some slots would not be asked for");
         }
-        StoreSettings read = new StoreSettings(address, tls, serverName, login, prefix, member, period,
+        StoreSettings read = new StoreSettings(
+                address,
+                tls,
+                serverName,
+                login,
+                prefix,
+                member,
+                period,
                 within,
-                section.number("read", 16, 1, 256), section.number("servers", 256, 1, 4096),
+                section.number("read", 16, 1, 256),
+                section.number("servers", 256, 1, 4096),
                 section.size("reply_bytes", "1MiB", "16KiB", "64MiB"),
                 section.fraction("slow", 2.5, 1.1, 100),
-                new Hearsay.Limits(section.time("oldest", "4s", "20ms", "10min") / 1_000_000,
-                        section.number("least_answers", 6, 1, 10_000), section.number("quorum", 2, 2, 1000),
-                        section.fraction("most_doubted", 0.25, 0,
-                                0.5)),
-                new StoreCircuit.Limits(section.time("slow_answer", "100ms", "1ms", "10s"),
-                        section.number("misses", 2, 1, 1000), section.time("pause", "500ms", "10ms", "10min"),
-                        section.time("longest_pause", "30s", "10ms", "60min")), shares);
+                new Hearsay.Limits(
+                        section.time("oldest", "4s", "20ms", "10min") / 1_000_000,
+                        section.number("least_answers", 6, 1, 10_000),
+                        section.number("quorum", 2, 2, 1000),
+                        section.fraction("most_doubted", 0.25, 0, 0.5)),
+                new StoreCircuit.Limits(
+                        section.time("slow_answer", "100ms", "1ms", "10s"),
+                        section.number("misses", 2, 1, 1000),
+                        section.time("pause", "500ms", "10ms", "10min"),
+                        section.time("longest_pause", "30s", "10ms", "60min")),
+                shares);
         return address == null ? null : read;
     }
 
@@ -116,11 +150,15 @@
         }
         try {
             SslContextBuilder builder = SslContextBuilder.forClient().sslProvider(SslProvider.JDK);
-            return !wanted ? null : authorities.equals("none") ? builder.build()
-                    : builder.trustManager(folder.resolve(authorities).toFile()).build();
+            return !wanted
+                    ? null
+                    : authorities.equals("none")
+                            ? builder.build()
+                            : builder.trustManager(folder.resolve(authorities).toFile())
+                                    .build();
         } catch (SSLException | IllegalArgumentException e) {
-            throw section.contradiction("authorities", "can't be used: " + folder.resolve(authorities) + ": "
-                    + e.getMessage());
+            throw section.contradiction(
+                    "authorities", "can't be used: " + folder.resolve(authorities) + ": " + e.getMessage());
         }
     }
 
@@ -140,8 +178,7 @@
             return null;
         }
         int colon = text.lastIndexOf(':');
-        InetAddress host = colon < 0 ? null
-                : NetUtil.createInetAddressFromIpAddressString(text.substring(0, colon));
+        InetAddress host = colon < 0 ? null : NetUtil.createInetAddressFromIpAddressString(text.substring(0, colon));
         try {
             int port = Integer.parseInt(text.substring(colon + 1));
             if (host != null && port > 0 && port <= 0xffff) {
--- a/src/main/java/pondridge/transport/MixedUpstreams.java
+++ b/src/main/java/pondridge/transport/MixedUpstreams.java
@@ -14,8 +14,8 @@
 import pondridge.core.Job;
 import pondridge.core.LoadReports;
 import pondridge.core.Transport;
-import pondridge.http1.Upstreams;
 import pondridge.grpc.GrpcWording;
+import pondridge.http1.Upstreams;
 import pondridge.http2.Http2Upstreams;
 import pondridge.http2.Learned;
 import pondridge.transport.TransportSettings.Protocol;
@@ -63,15 +63,17 @@
             return new Upstreams(loop, options, most);
         }
         if (settings.protocol() == Protocol.GRPC) {
-            return new Http2Upstreams(loop, options, settings.http2(), new GrpcWording(settings.grpc(),
-                    options));
+            return new Http2Upstreams(loop, options, settings.http2(), new GrpcWording(settings.grpc(), options));
         }
         Http2Upstreams http2 = new Http2Upstreams(loop, options, settings.http2());
         if (settings.protocol() == Protocol.HTTP2) {
             return http2;
         }
         int rest = Math.max(most / 4, most - settings.http2().connections());
-        return new MixedUpstreams(loop, new Upstreams(loop, options, rest), http2,
+        return new MixedUpstreams(
+                loop,
+                new Upstreams(loop, options, rest),
+                http2,
                 settings.http2().waiting());
     }
 
@@ -139,7 +141,7 @@
                     dispatch(upstream, server);
                 }
             });
-            default -> { }
+            default -> {}
         }
     }
 
@@ -188,8 +190,8 @@
             this.job = job;
             this.endsAt = endsAt;
             this.listener = listener;
-            this.timer = loop.schedule(() -> end(Outcome.CONNECT_FAILED),
-                    endsAt - System.nanoTime(), TimeUnit.NANOSECONDS);
+            this.timer =
+                    loop.schedule(() -> end(Outcome.CONNECT_FAILED), endsAt - System.nanoTime(), TimeUnit.NANOSECONDS);
         }
 
         private void send(long upstream, Transport way) {
@@ -198,8 +200,8 @@
             }
             timer.cancel(false);
             long left = Math.max(1, endsAt - System.nanoTime());
-            real = way.send(upstream, job, left,
-                    listener.after(outcome -> server.choice.ended(outcome, System.nanoTime())));
+            real = way.send(
+                    upstream, job, left, listener.after(outcome -> server.choice.ended(outcome, System.nanoTime())));
         }
 
         /** Ends it unsent. */
--- a/src/main/java/pondridge/transport/ProtocolChoice.java
+++ b/src/main/java/pondridge/transport/ProtocolChoice.java
@@ -13,9 +13,19 @@
     static final long LEARN_AGAIN = 1_000_000_000;
 
     /** What is to be done with a request now. */
-    enum Step { HTTP1, HTTP2, LEARN, WAIT }
+    enum Step {
+        HTTP1,
+        HTTP2,
+        LEARN,
+        WAIT
+    }
 
-    private enum State { UNKNOWN, LEARNING, HTTP1, HTTP2 }
+    private enum State {
+        UNKNOWN,
+        LEARNING,
+        HTTP1,
+        HTTP2
+    }
 
     private State state = State.UNKNOWN;
     private long learnedAt;
@@ -58,7 +68,8 @@
 
     /** An attempt has ended. A break may mean that another program is there now. */
     void ended(Outcome outcome, long now) {
-        boolean broke = outcome == Outcome.RESET || outcome == Outcome.CONNECT_FAILED
+        boolean broke = outcome == Outcome.RESET
+                || outcome == Outcome.CONNECT_FAILED
                 || outcome == Outcome.ERROR && state == State.HTTP1;
         if (broke && (state == State.HTTP1 || state == State.HTTP2) && now - learnedAt >= LEARN_AGAIN) {
             state = State.UNKNOWN;
--- a/src/main/java/pondridge/transport/TransportSettings.java
+++ b/src/main/java/pondridge/transport/TransportSettings.java
@@ -16,18 +16,23 @@
  */
 public record TransportSettings(Protocol protocol, Http2Options http2, GrpcSettings grpc) {
     /** What servers speak; AUTO asks each once for each of its starts. */
-    public enum Protocol { HTTP1, HTTP2, AUTO, GRPC }
+    public enum Protocol {
+        HTTP1,
+        HTTP2,
+        AUTO,
+        GRPC
+    }
 
     /** Reads sections {@code [upstreams]} and {@code [http2]}. */
     public static TransportSettings of(SettingsFile file, Path folder) {
         Section section = file.section("upstreams");
-        Protocol protocol = switch (section.word("protocol", "http1", List.of("http1", "http2", "auto",
-                "grpc"))) {
-            case "http2" -> Protocol.HTTP2;
-            case "auto" -> Protocol.AUTO;
-            case "grpc" -> Protocol.GRPC;
-            default -> Protocol.HTTP1;
-        };
+        Protocol protocol =
+                switch (section.word("protocol", "http1", List.of("http1", "http2", "auto", "grpc"))) {
+                    case "http2" -> Protocol.HTTP2;
+                    case "auto" -> Protocol.AUTO;
+                    case "grpc" -> Protocol.GRPC;
+                    default -> Protocol.HTTP1;
+                };
         GrpcSettings grpc = GrpcSettings.of(file, folder);
         if (protocol == Protocol.GRPC && (grpc == null || grpc.methods().isEmpty())) {
             throw section.contradiction("protocol", "grpc needs [grpc] and methods under [grpc_methods]");
--- a/src/test/java/pondridge/bench/Bench.java
+++ b/src/test/java/pondridge/bench/Bench.java
@@ -2,7 +2,7 @@
 
 /** Entry point of the measurements: the argument names one. */
 public final class Bench {
-    private Bench() { }
+    private Bench() {}
 
     /** Runs one measurement; prints its lines, each a list of key=value. */
     public static void main(String[] args) throws Exception {
