--- a/src/test/java/pondridge/gateway/AnswerTable.java
+++ b/src/test/java/pondridge/gateway/AnswerTable.java
@@ -6,7 +6,7 @@
 
 /** Fills the memory of answers to its bound, for the benchmark. */
 public final class AnswerTable {
-    private AnswerTable() { }
+    private AnswerTable() {}
 
     /**
      * What a full memory holds of the heap in bytes, by what is in use after collections before and after.
