--- /dev/null
+++ b/src/test/java/pondridge/sidecar/RequestLogTest.java
@@ -0,0 +1,51 @@
+package pondridge.sidecar;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertSame;
+
+import java.util.ArrayList;
+import java.util.List;
+import org.junit.jupiter.api.Test;
+import pondridge.Balancer.Outcome;
+import pondridge.core.Job;
+import pondridge.core.RequestLog;
+import pondridge.http1.Stub;
+
+class RequestLogTest {
+    @Test
+    void aRequestIsLoggedFromItsTakingToItsAnswer() throws Exception {
+        List<String> events = new ArrayList<>();
+        RequestLog log = new RequestLog() {
+            @Override
+            public void taken(long number, Job job) {
+                events.add("taken " + job.headers().get("Req-Id"));
+            }
+
+            @Override
+            public void attemptSent(long number, int attempt, String server, long waitNanos) {
+                events.add("sent " + server);
+            }
+
+            @Override
+            public void attemptEnded(long number, int attempt, String server, Outcome outcome, long tookNanos) {
+                events.add("ended " + server + " " + outcome);
+            }
+
+            @Override
+            public void answered(long number, String answer) {
+                events.add(answer);
+            }
+        };
+        try (Stub upstream = Stub.serving("x");
+                Bed bed = new Bed(Bed.json(upstream), engine -> engine.log(log))) {
+            assertEquals(200, bed.ask(Bed.look("a")).status());
+            List<String> seen = bed.loop.submit(() -> List.copyOf(events)).get();
+            assertEquals(List.of("taken a", "sent s-0", "ended s-0 OK", "served"), seen);
+        }
+    }
+
+    @Test
+    void nothingIsLoggedUnlessAskedFor() {
+        assertSame(RequestLog.NONE, RequestLog.fromEnvironment());
+    }
+}
