--- a/src/test/java/pondridge/http1/Stub.java
+++ b/src/test/java/pondridge/http1/Stub.java
@@ -13,6 +13,7 @@
 import java.util.Set;
 import java.util.concurrent.BlockingQueue;
 import java.util.concurrent.ConcurrentHashMap;
+import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.LinkedBlockingQueue;
 import java.util.concurrent.TimeUnit;
 
@@ -86,6 +87,16 @@
         return next;
     }
 
+    /** Waits for a latch, in a script or on the loop; false if it did not open in time. */
+    public static boolean await(CountDownLatch latch) {
+        try {
+            return latch.await(LIMIT_S, TimeUnit.SECONDS);
+        } catch (InterruptedException e) {
+            Thread.currentThread().interrupt();
+            return false;
+        }
+    }
+
     public InetSocketAddress address() {
         return (InetSocketAddress) server.getLocalSocketAddress();
     }
--- a/src/test/java/pondridge/http1/UpstreamsTest.java
+++ b/src/test/java/pondridge/http1/UpstreamsTest.java
@@ -142,11 +142,7 @@
         CountDownLatch go = new CountDownLatch(1);
         try (LateConnection late = new LateConnection();
                 Stub held = new Stub((socket, head) -> {
-                    try {
-                        return go.await(Stub.LIMIT_S, TimeUnit.SECONDS) && Stub.reply(socket, "200 OK", "", "x");
-                    } catch (InterruptedException e) {
-                        return false;
-                    }
+                    return Stub.await(go) && Stub.reply(socket, "200 OK", "", "x");
                 })) {
             Upstreams upstreams = upstreams(late.address(), LONG, 10);
             loop.execute(
@@ -307,11 +303,7 @@
         Set<Socket> sockets = ConcurrentHashMap.newKeySet();
         try (Stub upstream = new Stub((socket, head) -> {
             sockets.add(socket);
-            try {
-                return go.await(Stub.LIMIT_S, TimeUnit.SECONDS) && Stub.reply(socket, "200 OK", "", "x");
-            } catch (InterruptedException e) {
-                return false;
-            }
+            return Stub.await(go) && Stub.reply(socket, "200 OK", "", "x");
         })) {
             Upstreams upstreams = upstreams(upstream.address(), LONG, 10);
             send(upstreams);
--- a/src/test/java/pondridge/sidecar/ClientLeavesTest.java
+++ b/src/test/java/pondridge/sidecar/ClientLeavesTest.java
@@ -58,12 +58,7 @@
         CountDownLatch listed = new CountDownLatch(1);
         try (LateConnection late = new LateConnection();
                 Stub first = new Stub((socket, head) -> {
-                    try {
-                        return listed.await(Stub.LIMIT_S, TimeUnit.SECONDS)
-                                && Stub.reply(socket, "500 Error", "", "may have run");
-                    } catch (InterruptedException e) {
-                        return false;
-                    }
+                    return Stub.await(listed) && Stub.reply(socket, "500 Error", "", "may have run");
                 })) {
             ObjectNode json = Bed.json(first);
             ((ObjectNode) json.at("/settings/caps")).put("connectTimeout", 600_000_000_000L);
@@ -93,11 +88,7 @@
     void aLeaveIsSeenBehindWhatWaits() throws Exception {
         CountDownLatch go = new CountDownLatch(1);
         try (Stub upstream = new Stub((socket, head) -> {
-                    try {
-                        return go.await(Stub.LIMIT_S, TimeUnit.SECONDS) && Stub.reply(socket, "200 OK", "", "x");
-                    } catch (InterruptedException e) {
-                        return false;
-                    }
+                    return Stub.await(go) && Stub.reply(socket, "200 OK", "", "x");
                 });
                 Bed bed = bed(Bed.json(upstream));
                 Bed.Client burst = new Bed.Client(bed.address)) {
@@ -121,11 +112,7 @@
     void timeSpentBehindAnotherRequestIsTakenOff() throws Exception {
         CountDownLatch go = new CountDownLatch(1);
         try (Stub upstream = new Stub((socket, head) -> {
-                    try {
-                        return go.await(Stub.LIMIT_S, TimeUnit.SECONDS) && Stub.reply(socket, "200 OK", "", "x");
-                    } catch (InterruptedException e) {
-                        return false;
-                    }
+                    return Stub.await(go) && Stub.reply(socket, "200 OK", "", "x");
                 });
                 Bed bed = bed(Bed.json(upstream));
                 Bed.Client client = new Bed.Client(bed.address)) {
--- a/src/test/java/pondridge/sidecar/ConnectionCloseTest.java
+++ b/src/test/java/pondridge/sidecar/ConnectionCloseTest.java
@@ -28,11 +28,7 @@
         CountDownLatch go = new CountDownLatch(1);
         bed.loop.execute(() -> {
             blocked.countDown();
-            try {
-                assertTrue(go.await(Stub.LIMIT_S, TimeUnit.SECONDS));
-            } catch (InterruptedException e) {
-                Thread.currentThread().interrupt();
-            }
+            assertTrue(Stub.await(go));
             last.run();
         });
         assertTrue(blocked.await(Stub.LIMIT_S, TimeUnit.SECONDS));
--- a/src/test/java/pondridge/sidecar/DeployedIT.java
+++ b/src/test/java/pondridge/sidecar/DeployedIT.java
@@ -113,11 +113,7 @@
     void runServesAndEndsInOrderAtSigterm() throws Exception {
         CountDownLatch go = new CountDownLatch(1);
         try (Stub upstream = new Stub((socket, head) -> {
-            try {
-                return go.await(Stub.LIMIT_S, TimeUnit.SECONDS) && Stub.reply(socket, "200 OK", "", "held");
-            } catch (InterruptedException e) {
-                return false;
-            }
+            return Stub.await(go) && Stub.reply(socket, "200 OK", "", "held");
         })) {
             InetSocketAddress address = freeAddress();
             start("run", Bed.json(upstream).put("listen", "127.0.0.1:" + address.getPort()));
--- a/src/test/java/pondridge/sidecar/DiscoveryTest.java
+++ b/src/test/java/pondridge/sidecar/DiscoveryTest.java
@@ -152,11 +152,7 @@
         CountDownLatch configured = new CountDownLatch(1);
         String without = "{\"rev\":43,\"all\":true,\"targets\":[]}\n";
         try (Stub old = new Stub((socket, head) -> {
-                    try {
-                        assertTrue(configured.await(Stub.LIMIT_S, TimeUnit.SECONDS));
-                    } catch (InterruptedException e) {
-                        return false;
-                    }
+                    assertTrue(Stub.await(configured));
                     Stub.write(socket, CHUNKED + chunk(without));
                     return true;
                 });
@@ -201,11 +197,7 @@
     void aWatchThatWaitsIsNotReplaced() throws Exception {
         CountDownLatch again = new CountDownLatch(1);
         try (Stub stub = new Stub((socket, head) -> {
-            try {
-                assertTrue(again.await(Stub.LIMIT_S, TimeUnit.SECONDS));
-            } catch (InterruptedException e) {
-                return false;
-            }
+            assertTrue(Stub.await(again));
             Stub.write(socket, CHUNKED + chunk("\n"));
             return true;
         })) {
@@ -227,11 +219,7 @@
         String whole = "{\"rev\":3,\"all\":true,\"targets\":[]}\n";
         try (Stub old = new Stub((socket, head) -> true);
                 Stub next = new Stub((socket, head) -> {
-                    try {
-                        assertTrue(ended.await(Stub.LIMIT_S, TimeUnit.SECONDS));
-                    } catch (InterruptedException e) {
-                        return false;
-                    }
+                    assertTrue(Stub.await(ended));
                     Stub.write(socket, CHUNKED + chunk(whole));
                     return true;
                 })) {
@@ -302,12 +290,8 @@
                 Stub.write(socket, CHUNKED + chunk(drains + "\n"));
                 return true;
             }
-            try {
-                return watched.await(Stub.LIMIT_S, TimeUnit.SECONDS)
-                        && Stub.reply(socket, "200 OK", "", fetches.getAndIncrement() == 0 ? ready : drains);
-            } catch (InterruptedException e) {
-                return false;
-            }
+            return Stub.await(watched)
+                    && Stub.reply(socket, "200 OK", "", fetches.getAndIncrement() == 0 ? ready : drains);
         })) {
             Discovery discovery = discovery(stub);
             loop.execute(discovery::fetch);
--- a/src/test/java/pondridge/sidecar/EndTest.java
+++ b/src/test/java/pondridge/sidecar/EndTest.java
@@ -31,12 +31,8 @@
             bed.loop.execute(() -> {
                 bed.frontend.drain();
                 drained.countDown();
-                try {
-                    // Within the same turn: what the client sends now is on its way when the draining begins.
-                    assertTrue(written.await(Stub.LIMIT_S, TimeUnit.SECONDS));
-                } catch (InterruptedException e) {
-                    Thread.currentThread().interrupt();
-                }
+                // Within the same turn: what the client sends now is on its way when the draining begins.
+                assertTrue(Stub.await(written));
             });
             assertTrue(drained.await(Stub.LIMIT_S, TimeUnit.SECONDS));
             Stub.write(young.socket, Bed.look("b"));
@@ -86,11 +82,7 @@
     void whatCameBehindAnOpenRequestIsStillAnswered() throws Exception {
         CountDownLatch go = new CountDownLatch(1);
         try (Stub upstream = new Stub((socket, head) -> {
-                    try {
-                        return go.await(Stub.LIMIT_S, TimeUnit.SECONDS) && Stub.reply(socket, "200 OK", "", "x");
-                    } catch (InterruptedException e) {
-                        return false;
-                    }
+                    return Stub.await(go) && Stub.reply(socket, "200 OK", "", "x");
                 });
                 Bed bed = Bed.with(upstream);
                 Bed.Client client = new Bed.Client(bed.address)) {
--- a/src/test/java/pondridge/sidecar/SidecarTest.java
+++ b/src/test/java/pondridge/sidecar/SidecarTest.java
@@ -347,11 +347,7 @@
     void idOfAnOpenRequestIsRejected() throws Exception {
         CountDownLatch go = new CountDownLatch(1);
         try (Stub upstream = new Stub((socket, head) -> {
-                    try {
-                        return go.await(Stub.LIMIT_S, TimeUnit.SECONDS) && Stub.reply(socket, "200 OK", "", "own");
-                    } catch (InterruptedException e) {
-                        return false;
-                    }
+                    return Stub.await(go) && Stub.reply(socket, "200 OK", "", "own");
                 });
                 Bed bed = Bed.with(upstream);
                 Bed.Client first = new Bed.Client(bed.address)) {
--- a/src/test/java/pondridge/sidecar/StandStillTest.java
+++ b/src/test/java/pondridge/sidecar/StandStillTest.java
@@ -41,11 +41,7 @@
         CountDownLatch go = new CountDownLatch(1);
         bed.loop.execute(() -> {
             stands.countDown();
-            try {
-                assertTrue(go.await(Stub.LIMIT_S, TimeUnit.SECONDS));
-            } catch (InterruptedException e) {
-                Thread.currentThread().interrupt();
-            }
+            assertTrue(Stub.await(go));
         });
         assertTrue(stands.await(Stub.LIMIT_S, TimeUnit.SECONDS));
         meanwhile.happens();
@@ -158,11 +154,7 @@
     void aLeaveIsSeenBehindMuchThatWaits() throws Exception {
         CountDownLatch go = new CountDownLatch(1);
         try (Stub upstream = new Stub((socket, head) -> {
-                    try {
-                        return go.await(Stub.LIMIT_S, TimeUnit.SECONDS) && Stub.reply(socket, "200 OK", "", "x");
-                    } catch (InterruptedException e) {
-                        return false;
-                    }
+                    return Stub.await(go) && Stub.reply(socket, "200 OK", "", "x");
                 });
                 Bed bed = bed(Bed.json(upstream));
                 Bed.Client much = new Bed.Client(bed.address);
