Count a request's age from its arrival, not from when it was read

Cause, one class: time that a request lies in the backlog or in the socket was not counted. (1) Engine.submit began the client's time when the request was read, so a process that had stood still or was short of processor time forwarded it with the full time, and told the server so. (2) A disconnect behind the request was looked for only if previousTurnEnd was 50 ms old, which says nothing of connections that were unaccepted or of bytes read in a later turn.

The age beyond 40 ms is taken off the client's time; a request with none left is refused at once; a client's socket is read until it is empty before each attempt if a disconnect may lie there for over 50 ms. Stalls, expired requests and vanished clients are counted and logged, ages stand in the request log.

--- a/src/main/java/pondridge/cli/GatewayCommand.java
+++ b/src/main/java/pondridge/cli/GatewayCommand.java
@@ -2,7 +2,6 @@
 
 import io.netty.channel.EventLoop;
 import io.netty.channel.MultiThreadIoEventLoopGroup;
-import io.netty.channel.nio.NioIoHandler;
 import java.io.IOException;
 import java.nio.file.Path;
 import java.util.concurrent.Callable;
@@ -14,6 +13,8 @@
 import picocli.CommandLine.Command;
 import picocli.CommandLine.Option;
 import pondridge.Balancer.RequestClass;
+import pondridge.core.EventCounters;
+import pondridge.core.MonitoredIoHandler;
 import pondridge.core.Transport;
 import pondridge.gateway.Gateway;
 import pondridge.gateway.GatewaySettings;
@@ -51,7 +52,8 @@
     @Override
     public Integer call() throws InterruptedException, IOException {
         Configuration configuration = Configuration.read(file);
-        MultiThreadIoEventLoopGroup group = new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory());
+        MultiThreadIoEventLoopGroup group =
+                new MultiThreadIoEventLoopGroup(1, MonitoredIoHandler.newFactory(EventCounters.toStandardError()));
         EventLoop loop = group.next();
         try {
             CompletableFuture<Gateway> started = new CompletableFuture<>();
--- a/src/main/java/pondridge/core/Client.java
+++ b/src/main/java/pondridge/core/Client.java
@@ -9,12 +9,16 @@
     /** Called right before {@link #refused} or {@link #failed}, with a summary of the attempts. */
     default void reportAttempts(AttemptSummary attempts) {}
 
+    /** How long ago a disconnect that has not been read yet may have arrived at most, in nanoseconds. */
+    default long unreadNanos() {
+        return 0;
+    }
+
     /**
      * Whether the client is still connected; called right before an attempt is written for it. An
      * implementation that returns false must also call {@link RequestProcessor#clientDisconnected}, later.
      *
-     * @param readSocket whether the event loop may have stalled, so that a disconnect may be unread in the
-     *     socket
+     * @param readSocket whether to read the client's socket first, in which a disconnect may be unread
      */
     default boolean isConnected(boolean readSocket) {
         return true;
--- a/src/main/java/pondridge/core/Engine.java
+++ b/src/main/java/pondridge/core/Engine.java
@@ -33,12 +33,10 @@
     /** Part of the client's timeout reserved for returning the response; the balancer does not see it. */
     private static final long RESPONSE_MARGIN_NANOS = 10_000_000;
     /**
-     * How long the clients' sockets may go unread before a request is forwarded without another check. It is
+     * How long a client's socket may go unread before a request is forwarded without another check. It is
      * half of the 0.1 s after a client's disconnect within which no new attempt may start; the other half
-     * covers the time between check and write. After a longer gap that client's socket is read first. Only
-     * the read shows a disconnect that arrived while the loop was stalled, since a single loop turn may
-     * process the connection to the server before the client's end of stream. While the loop keeps turning,
-     * even under load, no such read is needed.
+     * covers the time between check and write. After a longer gap that client's socket is read first: only
+     * the read shows a disconnect that arrived while the loop was stalled or the connection in the backlog.
      */
     private static final long MAX_UNREAD_NANOS = 50_000_000;
     /** A peer message holds up to 256 bytes; each entry is a server id and a slowdown factor. */
@@ -62,7 +60,6 @@
         /** When the first attempt that may have run was sent; valid if {@code mayHaveRun}. */
         private long mayHaveRunSince;
 
-        private long lastSocketReadAt;
         /** A connection check found the client gone; the frontend reports that as well, later. */
         private boolean clientGone;
 
@@ -173,6 +170,7 @@
     private final ObservedEndpoints endpoints = new ObservedEndpoints();
     private Observer observer;
     private RequestLog log = RequestLog.NONE;
+    private EventCounters counters = EventCounters.unlogged();
     /** Server names by upstream id; filled only if the request log is on. */
     private final Map<Long, String> namesForLog = new HashMap<>();
 
@@ -183,10 +181,7 @@
     private long requestCount;
     /** New requests that wait for the end of the event loop turn in which they arrived. */
     private final ArrayDeque<Runnable> deferredRequests = new ArrayDeque<>(1);
-    /** Everything that had arrived before {@code previousTurnEnd}, the earlier of the two, has been read. */
-    private long lastTurnEnd;
 
-    private long previousTurnEnd;
     private boolean checkingClient;
 
     /**
@@ -269,6 +264,11 @@
         this.log = log;
     }
 
+    /** Sets the counters of requests that were not forwarded; must be called before {@link #start}. */
+    public void setCounters(EventCounters counters) {
+        this.counters = counters;
+    }
+
     /** The number of requests submitted so far. */
     public long requestCount() {
         return requestCount;
@@ -388,8 +388,17 @@
         long id = ++lastRequestId;
         log.requestReceived(id, job);
         long receivedAt = now();
-        long timeLeftNanos = Math.max(
-                1, Math.min(job.clientTimeoutMillis() * 1_000_000 - RESPONSE_MARGIN_NANOS, shutdownAt - receivedAt));
+        long timeLeftNanos =
+                Math.min(job.clientTimeoutMillis() * 1_000_000 - RESPONSE_MARGIN_NANOS, shutdownAt - receivedAt);
+        if (timeLeftNanos <= 0) {
+            counters.count(
+                    EventCounters.Kind.REQUEST_EXPIRED,
+                    () -> String.valueOf(job.headers().get("Req-Id")));
+            log.responseSent(id, "refused: no time left when read");
+            client.reportAttempts(new AttemptSummary(0, 0, false));
+            client.refused(0);
+            return 0;
+        }
         OpenRequest request = new OpenRequest(job, client);
         request.deadline = receivedAt + timeLeftNanos;
         openRequests.put(id, request);
@@ -401,13 +410,13 @@
                 }),
                 timeLeftNanos + RESPONSE_MARGIN_NANOS / 2,
                 TimeUnit.NANOSECONDS);
-        if (checkingClient || receivedAt - previousTurnEnd > MAX_UNREAD_NANOS) {
+        if (checkingClient || client.unreadNanos() > MAX_UNREAD_NANOS) {
             // The client's end of stream may be right behind in the socket, which must not be read from within
             // its own read.
             deferredRequests.add(() -> passToBalancer(id, request));
             if (deferredRequests.size() == 1) {
                 // schedule(), not execute(): a task executed from within a task may run in the same turn.
-                loop.schedule(this::endTurn, 0, TimeUnit.NANOSECONDS);
+                loop.schedule(this::passDeferredRequests, 0, TimeUnit.NANOSECONDS);
             }
         } else {
             passToBalancer(id, request);
@@ -415,9 +424,7 @@
         return id;
     }
 
-    private void endTurn() {
-        previousTurnEnd = lastTurnEnd;
-        lastTurnEnd = now();
+    private void passDeferredRequests() {
         // Requests that arrive meanwhile wait for the next turn.
         List<Runnable> requests = List.copyOf(deferredRequests);
         deferredRequests.clear();
@@ -429,6 +436,7 @@
             return;
         }
         if (!clientConnected(request)) {
+            log.responseSent(id, "none: the client had disconnected when its request was read");
             request.close();
             forget(id, request);
             return;
@@ -451,15 +459,17 @@
 
     /** Whether the client is still connected. Reads its socket if that may not have been read recently. */
     private boolean clientConnected(OpenRequest request) {
-        long now = now();
-        boolean readSocket = now - Math.max(previousTurnEnd, request.lastSocketReadAt) > MAX_UNREAD_NANOS;
-        if (readSocket) {
-            request.lastSocketReadAt = now;
-        }
+        boolean readSocket = request.client.unreadNanos() > MAX_UNREAD_NANOS;
         boolean alreadyChecking = checkingClient;
         checkingClient = true;
-        request.clientGone |= !request.client.isConnected(readSocket);
+        boolean connected = request.client.isConnected(readSocket);
         checkingClient = alreadyChecking;
+        if (!connected && !request.clientGone) {
+            request.clientGone = true;
+            counters.count(
+                    EventCounters.Kind.CLIENT_GONE,
+                    () -> String.valueOf(request.job.headers().get("Req-Id")));
+        }
         return !request.clientGone;
     }
 
--- a/src/main/java/pondridge/core/Job.java
+++ b/src/main/java/pondridge/core/Job.java
@@ -56,6 +56,11 @@
                 body);
     }
 
+    /** The same request, {@code ageNanos} nanoseconds after its arrival. */
+    public Job aged(long ageNanos) {
+        return ageNanos <= 0 ? this : withTimeLeft(clientTimeoutMillis * 1_000_000 - ageNanos);
+    }
+
     /** The same request with this much time left, in nanoseconds from now; at least 1 ms. */
     public Job withTimeLeft(long timeLeftNanos) {
         return new Job(
--- a/src/main/java/pondridge/core/RequestLog.java
+++ b/src/main/java/pondridge/core/RequestLog.java
@@ -23,6 +23,9 @@
     /** A complete request was read; {@code number} identifies it within this process. */
     default void requestReceived(long number, Job job) {}
 
+    /** A request of this {@code Req-Id} may have waited this long in its socket or queue before it was read. */
+    default void requestAged(String clientRequestId, long ageNanos) {}
+
     /** An attempt was handed to the transport. */
     default void attemptSent(long number, int attempt, String server, long timeoutNanos) {}
 
--- a/src/main/java/pondridge/core/StderrRequestLog.java
+++ b/src/main/java/pondridge/core/StderrRequestLog.java
@@ -23,6 +23,11 @@
                 + " waitMs=" + job.clientTimeoutMillis());
     }
 
+    @Override
+    public void requestAged(String clientRequestId, long ageNanos) {
+        writeLine("aged id=" + clientRequestId + " ageMs=" + ageNanos / NANOS_PER_MILLI);
+    }
+
     @Override
     public void attemptSent(long number, int attempt, String server, long timeoutNanos) {
         writeLine("sent #" + number + "." + attempt + " to=" + server + " waitMs=" + timeoutNanos / NANOS_PER_MILLI);
--- a/src/main/java/pondridge/demo/InProcessGateway.java
+++ b/src/main/java/pondridge/demo/InProcessGateway.java
@@ -2,7 +2,6 @@
 
 import io.netty.channel.EventLoop;
 import io.netty.channel.MultiThreadIoEventLoopGroup;
-import io.netty.channel.nio.NioIoHandler;
 import java.io.IOException;
 import java.lang.management.ManagementFactory;
 import java.net.InetAddress;
@@ -16,6 +15,8 @@
 import pondridge.Balancer.EndpointListKind;
 import pondridge.BalancerOptions;
 import pondridge.core.EndpointDiscovery;
+import pondridge.core.EventCounters;
+import pondridge.core.MonitoredIoHandler;
 import pondridge.core.Target;
 import pondridge.gateway.Gateway;
 import pondridge.gateway.GatewaySettings;
@@ -34,7 +35,7 @@
     InProcessGateway(
             GatewaySettings settings, BalancerOptions options, List<Target> targets, long seed, LongSupplier clock)
             throws IOException {
-        this.group = new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory());
+        this.group = new MultiThreadIoEventLoopGroup(1, MonitoredIoHandler.newFactory(EventCounters.unlogged()));
         this.loop = group.next();
         try {
             gateway = loop.submit(() -> new Gateway(
--- a/src/main/java/pondridge/demo/SiteTestbed.java
+++ b/src/main/java/pondridge/demo/SiteTestbed.java
@@ -2,7 +2,6 @@
 
 import io.netty.channel.EventLoop;
 import io.netty.channel.MultiThreadIoEventLoopGroup;
-import io.netty.channel.nio.NioIoHandler;
 import java.io.IOException;
 import java.net.InetAddress;
 import java.net.InetSocketAddress;
@@ -18,6 +17,8 @@
 import pondridge.Balancer.EndpointListKind;
 import pondridge.Balancer.UpstreamState;
 import pondridge.BalancerOptions;
+import pondridge.core.EventCounters;
+import pondridge.core.MonitoredIoHandler;
 import pondridge.core.Target;
 import pondridge.gateway.GatewaySettings;
 import pondridge.settings.SettingsFile;
@@ -265,7 +266,7 @@
         this.launcher = launcher;
         this.seed = seed;
         this.ledger = new ExecutionLedger(500 * MS, (long) options.number("rules.stopSendingWithin", 2e9));
-        this.group = new MultiThreadIoEventLoopGroup(3, NioIoHandler.newFactory());
+        this.group = new MultiThreadIoEventLoopGroup(3, MonitoredIoHandler.newFactory(EventCounters.unlogged()));
         this.serverLoop = group.next();
         this.linkLoop = group.next();
         this.clientLoop = group.next();
--- a/src/main/java/pondridge/gateway/Dispatcher.java
+++ b/src/main/java/pondridge/gateway/Dispatcher.java
@@ -237,8 +237,13 @@
         }
 
         @Override
-        public boolean isConnected(boolean late) {
-            return client.isConnected(late);
+        public long unreadNanos() {
+            return client.unreadNanos();
+        }
+
+        @Override
+        public boolean isConnected(boolean readSocket) {
+            return client.isConnected(readSocket);
         }
 
         @Override
--- a/src/main/java/pondridge/gateway/LinkRequestHandler.java
+++ b/src/main/java/pondridge/gateway/LinkRequestHandler.java
@@ -32,7 +32,7 @@
 import pondridge.Balancer.RetrySemantics;
 import pondridge.core.AttemptSummary;
 import pondridge.core.Client;
-import pondridge.core.DisconnectDetector;
+import pondridge.core.ClientSocketMonitor;
 import pondridge.core.Job;
 import pondridge.core.JobReader;
 import pondridge.core.UpstreamResponse;
@@ -141,6 +141,7 @@
         private String cacheKey;
         private long responseTtlNanos;
         private boolean holdsCredit;
+        private boolean runsToEnd;
         private boolean responded;
         private AttemptSummary lastAttempts = new AttemptSummary(0, 0, false);
         private long requestId;
@@ -198,7 +199,8 @@
                         .forEach(headers::remove);
                 job = reader.read(request.method(), request.uri(), headers)
                         .withBody(ByteBufUtil.getBytes(request.content()));
-                job = job.withTimeLeft(Math.min(timeLeftNanos, job.clientTimeoutMillis() * 1_000_000));
+                job = job.withTimeLeft(Math.min(timeLeftNanos, job.clientTimeoutMillis() * 1_000_000))
+                        .aged(ClientSocketMonitor.dataAgeNanos(stream.parent()));
             } catch (IllegalArgumentException e) {
                 log.warn("link_request", site, e.getMessage());
                 respond(HttpResponseStatus.BAD_REQUEST, new byte[0], null);
@@ -208,8 +210,9 @@
                 requestId = dispatcher.submitFromLink(job, this);
                 return;
             }
-            // A keyed request runs to its end even if its stream is closed, so that the repeat gets its
-            // response.
+            // A keyed request runs to its end even if all waiters have disconnected, so that the repeat gets
+            // its response.
+            runsToEnd = true;
             String key = job.requestClass() + "/" + job.tenant() + '/'
                     + job.headers().get(JobReader.IDEMPOTENCY_KEY_HEADER);
             responseTtlNanos = reader.requestClass(job).keyTtlNanos();
@@ -243,10 +246,13 @@
         }
 
         @Override
-        public boolean isConnected(boolean late) {
-            // A keyed request runs to its end even if all waiters have disconnected; it has no request ID to
-            // cancel.
-            return requestId == 0 || DisconnectDetector.isConnected(stream.parent(), late) && stream.isActive();
+        public long unreadNanos() {
+            return runsToEnd ? 0 : ClientSocketMonitor.unreadNanos(stream.parent());
+        }
+
+        @Override
+        public boolean isConnected(boolean readSocket) {
+            return runsToEnd || ClientSocketMonitor.isConnected(stream.parent(), readSocket) && stream.isActive();
         }
 
         @Override
--- a/src/main/java/pondridge/grpc/GrpcFrontend.java
+++ b/src/main/java/pondridge/grpc/GrpcFrontend.java
@@ -33,7 +33,7 @@
 import java.util.concurrent.TimeUnit;
 import pondridge.BalancerOptions;
 import pondridge.core.Client;
-import pondridge.core.DisconnectDetector;
+import pondridge.core.ClientSocketMonitor;
 import pondridge.core.Headers;
 import pondridge.core.Job;
 import pondridge.core.JobReader;
@@ -244,7 +244,7 @@
             }
             Job job;
             try {
-                job = toJob(decoded.message());
+                job = toJob(decoded.message()).aged(ClientSocketMonitor.dataAgeNanos(stream.parent()));
             } catch (IllegalArgumentException e) {
                 end(GrpcCode.INVALID_ARGUMENT, e.getMessage(), 0);
                 return;
@@ -305,8 +305,13 @@
         }
 
         @Override
-        public boolean isConnected(boolean loopMayHaveStalled) {
-            return DisconnectDetector.isConnected(stream.parent(), loopMayHaveStalled) && stream.isActive();
+        public long unreadNanos() {
+            return ClientSocketMonitor.unreadNanos(stream.parent());
+        }
+
+        @Override
+        public boolean isConnected(boolean readSocket) {
+            return ClientSocketMonitor.isConnected(stream.parent(), readSocket) && stream.isActive();
         }
 
         @Override
--- a/src/main/java/pondridge/http1/Frontend.java
+++ b/src/main/java/pondridge/http1/Frontend.java
@@ -46,8 +46,9 @@
 import java.util.Set;
 import java.util.concurrent.TimeUnit;
 import pondridge.BalancerOptions;
+import pondridge.core.AcceptMonitor;
 import pondridge.core.Client;
-import pondridge.core.DisconnectDetector;
+import pondridge.core.ClientSocketMonitor;
 import pondridge.core.Headers;
 import pondridge.core.Job;
 import pondridge.core.JobReader;
@@ -89,7 +90,7 @@
 
     private record CompletedId(String clientRequestId, long completedAt) {}
 
-    private record PipelinedMessage(HttpObject message, long receivedAt) {}
+    private record PipelinedMessage(HttpObject message, long arrivedAt) {}
 
     private final RequestProcessor requestProcessor;
     private final JobReader jobReader;
@@ -116,6 +117,7 @@
      * {@link #markReady}. May be called again if it failed.
      */
     public ChannelFuture listen(EventLoopGroup group, InetSocketAddress address) {
+        AcceptMonitor acceptMonitor = new AcceptMonitor(MAX_ACCEPTS_PER_TURN);
         ChannelFuture bound = new ServerBootstrap()
                 .group(group)
                 .channel(NioServerSocketChannel.class)
@@ -124,6 +126,7 @@
                 .option(
                         ChannelOption.RECVBUF_ALLOCATOR,
                         new ServerChannelRecvByteBufAllocator().maxMessagesPerRead(MAX_ACCEPTS_PER_TURN))
+                .handler(acceptMonitor)
                 .childOption(ChannelOption.TCP_NODELAY, true)
                 .childHandler(new ChannelInitializer<Channel>() {
                     @Override
@@ -136,7 +139,7 @@
                         Connection connection = new Connection(accepted);
                         accepted.pipeline()
                                 .addLast(
-                                        new DisconnectDetector(),
+                                        new ClientSocketMonitor(acceptMonitor),
                                         new HttpResponseEncoder(),
                                         connection.new Decoder(),
                                         connection);
@@ -224,7 +227,7 @@
         private final ArrayDeque<PipelinedMessage> pipelined = new ArrayDeque<>(1);
 
         private int pipelinedBytes;
-        /** How long the message that is being handled has waited in {@code pipelined}; 0 if not at all. */
+        /** How long the message being handled has waited since it arrived, if it was in {@code pipelined}; else 0. */
         private long queuedNanos;
 
         private final ConnectionTable.Entry<Connection> entry;
@@ -282,7 +285,7 @@
         private void expire() {
             State before = entry.state();
             long since = entry.since();
-            if (!DisconnectDetector.isConnected(channel, true) || !isIn(before) || entry.since() != since) {
+            if (!ClientSocketMonitor.isConnected(channel, true) || !isIn(before) || entry.since() != since) {
                 return;
             }
             if (isIn(State.READING)) {
@@ -301,7 +304,7 @@
         private boolean closeUnlessRequestUnread(String reason) {
             State before = entry.state();
             long since = entry.since();
-            if (!DisconnectDetector.isConnected(channel, true)) {
+            if (!ClientSocketMonitor.isConnected(channel, true)) {
                 connections.remove(entry);
                 return true;
             }
@@ -335,7 +338,9 @@
                 if (!channel.isActive()) {
                     return;
                 }
-                pipelined.add(new PipelinedMessage(ReferenceCountUtil.retain(message), System.nanoTime()));
+                pipelined.add(new PipelinedMessage(
+                        ReferenceCountUtil.retain(message),
+                        System.nanoTime() - ClientSocketMonitor.dataAgeNanos(channel)));
                 addPipelinedBytes(pipelinedSize(message));
                 if (pipelinedBytes > GUARANTEED_PIPELINED_BYTES
                         && (pipelinedBytes > MAX_PIPELINED_BYTES || totalPipelinedBytes > MAX_TOTAL_PIPELINED_BYTES)) {
@@ -408,10 +413,11 @@
                 reject(HttpResponseStatus.CONFLICT, "Req-Id in use");
                 return;
             }
-            Job complete = job.withBody(body.toByteArray());
-            if (queuedNanos > 0) {
-                complete = complete.withTimeLeft(complete.clientTimeoutMillis() * 1_000_000 - queuedNanos);
+            long ageNanos = queuedNanos > 0 ? queuedNanos : ClientSocketMonitor.dataAgeNanos(channel);
+            if (ageNanos > 0) {
+                log.requestAged(clientRequestId, ageNanos);
             }
+            Job complete = job.withBody(body.toByteArray()).aged(ageNanos);
             job = null;
             body = null;
             enterState(State.ASKED);
@@ -422,9 +428,14 @@
             }
         }
 
+        @Override
+        public long unreadNanos() {
+            return ClientSocketMonitor.unreadNanos(channel);
+        }
+
         @Override
         public boolean isConnected(boolean readSocket) {
-            return DisconnectDetector.isConnected(channel, readSocket);
+            return ClientSocketMonitor.isConnected(channel, readSocket);
         }
 
         @Override
@@ -496,7 +507,7 @@
             while (!pipelined.isEmpty() && !hasOpenRequest()) {
                 PipelinedMessage next = pipelined.poll();
                 addPipelinedBytes(-pipelinedSize(next.message));
-                queuedNanos = System.nanoTime() - next.receivedAt;
+                queuedNanos = System.nanoTime() - next.arrivedAt;
                 try {
                     handle(next.message);
                 } finally {
--- a/src/main/java/pondridge/http2/Http2Server.java
+++ b/src/main/java/pondridge/http2/Http2Server.java
@@ -9,6 +9,7 @@
 import io.netty.channel.ChannelInitializer;
 import io.netty.channel.ChannelOption;
 import io.netty.channel.EventLoop;
+import io.netty.channel.ServerChannelRecvByteBufAllocator;
 import io.netty.channel.socket.nio.NioServerSocketChannel;
 import io.netty.handler.codec.http2.DefaultHttp2GoAwayFrame;
 import io.netty.handler.codec.http2.Http2Error;
@@ -30,7 +31,8 @@
 import java.util.function.BiConsumer;
 import java.util.function.Function;
 import java.util.function.LongSupplier;
-import pondridge.core.DisconnectDetector;
+import pondridge.core.AcceptMonitor;
+import pondridge.core.ClientSocketMonitor;
 
 /**
  * Accepts HTTP/2 connections and enforces limits on them: the number of connections, the idle time, the bytes
@@ -42,6 +44,7 @@
     private static final int MAX_RESETS_PER_WINDOW = 200;
     private static final int RESET_WINDOW_SECONDS = 30;
     private static final long SECOND_NANOS = 1_000_000_000;
+    private static final int MAX_ACCEPTS_PER_TURN = 16;
     /** Time between the two GOAWAY frames of a graceful shutdown: slightly more than a round trip. */
     private static final long GOAWAY_INTERVAL_NANOS = 100_000_000;
 
@@ -115,15 +118,20 @@
 
     /** Starts to listen. */
     public ChannelFuture listen() {
+        AcceptMonitor acceptMonitor = new AcceptMonitor(MAX_ACCEPTS_PER_TURN);
         ChannelFuture bound = new ServerBootstrap()
                 .group(loop)
                 .channel(NioServerSocketChannel.class)
                 .option(ChannelOption.SO_REUSEADDR, true)
+                .option(
+                        ChannelOption.RECVBUF_ALLOCATOR,
+                        new ServerChannelRecvByteBufAllocator().maxMessagesPerRead(MAX_ACCEPTS_PER_TURN))
+                .handler(acceptMonitor)
                 .childOption(ChannelOption.TCP_NODELAY, true)
                 .childHandler(new ChannelInitializer<Channel>() {
                     @Override
                     protected void initChannel(Channel channel) {
-                        accept(channel);
+                        accept(channel, acceptMonitor);
                     }
                 })
                 .bind(limits.listenAddress());
@@ -175,7 +183,7 @@
         serverChannel.close();
     }
 
-    private void accept(Channel channel) {
+    private void accept(Channel channel, AcceptMonitor acceptMonitor) {
         if (connections.size() >= limits.maxConnections()) {
             events.warn(eventPrefix + "_full", channel.remoteAddress().toString(), "connection limit reached");
             channel.close();
@@ -192,7 +200,7 @@
                     TimeUnit.NANOSECONDS);
             channel.closeFuture().addListener(closed -> drainTask.cancel(false));
         }
-        channel.pipeline().addLast(new DisconnectDetector());
+        channel.pipeline().addLast(new ClientSocketMonitor(acceptMonitor));
         if (tlsHandlerFactory != null) {
             channel.pipeline().addLast(tlsHandlerFactory.apply(channel));
         }
--- a/src/main/java/pondridge/sidecar/Main.java
+++ b/src/main/java/pondridge/sidecar/Main.java
@@ -2,7 +2,6 @@
 
 import io.netty.channel.EventLoop;
 import io.netty.channel.MultiThreadIoEventLoopGroup;
-import io.netty.channel.nio.NioIoHandler;
 import io.netty.util.internal.logging.InternalLoggerFactory;
 import io.netty.util.internal.logging.JdkLoggerFactory;
 import java.io.IOException;
@@ -16,6 +15,8 @@
 import pondridge.Balancer.RequestClass;
 import pondridge.control.SidecarControl;
 import pondridge.core.Engine;
+import pondridge.core.EventCounters;
+import pondridge.core.MonitoredIoHandler;
 import pondridge.core.RequestLog;
 import pondridge.core.Transport;
 import pondridge.http1.Frontend;
@@ -77,11 +78,12 @@
             System.exit(2);
             return;
         }
-        MultiThreadIoEventLoopGroup group = new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory());
+        EventCounters counters = EventCounters.toStandardError();
+        MultiThreadIoEventLoopGroup group = new MultiThreadIoEventLoopGroup(1, MonitoredIoHandler.newFactory(counters));
         EventLoop loop = group.next();
         boolean dryRun = args.length == 1 && args[0].equals(DRY_RUN_ARGUMENT);
         SidecarSettings sidecarSettings = settings;
-        loop.execute(() -> start(group, loop, config, sidecarSettings, dryRun, configApplier));
+        loop.execute(() -> start(group, loop, counters, config, sidecarSettings, dryRun, configApplier));
     }
 
     /**
@@ -134,6 +136,7 @@
     private static void start(
             MultiThreadIoEventLoopGroup group,
             EventLoop loop,
+            EventCounters counters,
             PlatformConfig config,
             SidecarSettings settings,
             boolean dryRun,
@@ -156,6 +159,7 @@
         Frontend frontend = new Frontend(engine, config.options(), config.maxClientConnections());
         RequestLog requestLog = RequestLog.fromEnvironment();
         engine.setRequestLog(requestLog);
+        engine.setCounters(counters);
         discovery.setRequestLog(requestLog);
         frontend.setRequestLog(requestLog);
         if (settings != null && settings.control() != null) {
--- a/src/test/java/pondridge/sidecar/ImpatientClients.java
+++ b/src/test/java/pondridge/sidecar/ImpatientClients.java
@@ -1,5 +1,6 @@
 package pondridge.sidecar;
 
+import com.fasterxml.jackson.databind.node.ObjectNode;
 import java.io.IOException;
 import java.net.InetSocketAddress;
 import java.net.SocketTimeoutException;
@@ -25,6 +26,8 @@
     private static final long LOST_AFTER_NANOS = 100_000_000;
 
     private static final int RESPONSE_WAIT_MS = 2_000;
+    private static final long SLO_NANOS = 200_000_000;
+    private static final long DEADLINE_NANOS = 2_000_000_000;
 
     private enum Departure {
         CLOSE,
@@ -63,6 +66,13 @@
         });
     }
 
+    /** A configuration with these servers, and with a latency objective that suits clients of short patience. */
+    static ObjectNode config(StubServer... servers) throws IOException {
+        ObjectNode config = SidecarFixture.config(servers);
+        ((ObjectNode) config.at("/settings/profiles/0")).put("slo", SLO_NANOS).put("deadline", DEADLINE_NANOS);
+        return config;
+    }
+
     /** Sends requests at this mean rate for this long, and waits until all clients have finished. */
     void run(InetSocketAddress sidecar, int requestsPerSecond, long durationMs) throws InterruptedException {
         long next = System.nanoTime();
@@ -144,6 +154,11 @@
         return served.get();
     }
 
+    /** Requests without a response in the time that their client waited. */
+    int unanswered() {
+        return unanswered.get();
+    }
+
     @Override
     public String toString() {
         return "requests " + sentAt.size() + ", served " + served + ", refused " + refused + ", not answered in time "
--- a/src/test/java/pondridge/sidecar/SidecarFixture.java
+++ b/src/test/java/pondridge/sidecar/SidecarFixture.java
@@ -4,7 +4,6 @@
 import com.fasterxml.jackson.databind.node.ObjectNode;
 import io.netty.channel.EventLoop;
 import io.netty.channel.MultiThreadIoEventLoopGroup;
-import io.netty.channel.nio.NioIoHandler;
 import java.io.BufferedInputStream;
 import java.io.IOException;
 import java.io.InputStream;
@@ -15,7 +14,9 @@
 import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
 import pondridge.core.Engine;
+import pondridge.core.EventCounters;
 import pondridge.core.Json;
+import pondridge.core.MonitoredIoHandler;
 import pondridge.http1.Frontend;
 import pondridge.http1.StubServer;
 import pondridge.http1.Upstreams;
@@ -28,7 +29,8 @@
     /** Limit on open requests and on client connections. */
     static final int MAX_OPEN = 100;
 
-    private final MultiThreadIoEventLoopGroup group = new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory());
+    private final MultiThreadIoEventLoopGroup group =
+            new MultiThreadIoEventLoopGroup(1, MonitoredIoHandler.newFactory(EventCounters.unlogged()));
     final EventLoop loop = group.next();
     final Frontend frontend;
     final Engine engine;
--- a/src/test/java/pondridge/sidecar/StandstillIT.java
+++ b/src/test/java/pondridge/sidecar/StandstillIT.java
@@ -33,7 +33,7 @@
             for (int i = 0; i < SERVERS; i++) {
                 servers[i] = clients.server(SERVICE_MS);
             }
-            try (DeployedProcess sidecar = new DeployedProcess(directory, SidecarFixture.config(servers))) {
+            try (DeployedProcess sidecar = new DeployedProcess(directory, ImpatientClients.config(servers))) {
                 sidecar.awaitUp();
                 Thread load = new Thread(() -> {
                     try {
