Keep listeners accepting when accept fails

A stack trace in no format of ours each time.

Cause: the library's acceptor turns reading off for one second at any exception of the listener; all listeners had it.

Change: AcceptMonitor handles it in HTTP/1.1, HTTP/2 (gRPC, links) and control listeners: it tries again at once, from the second failure in a row after 1, 2, 4, 8, then 16 ms; a shortage of descriptors that lasts closes a resting connection, never one that has sent part of a request or was just accepted. One line a second at most, counted by kind. The backlog counts as unread meanwhile, so the age of what waits there is kept.

--- a/src/main/java/pondridge/control/ControlServer.java
+++ b/src/main/java/pondridge/control/ControlServer.java
@@ -19,6 +19,8 @@
 import java.util.concurrent.TimeUnit;
 import java.util.function.LongUnaryOperator;
 import java.util.function.Supplier;
+import pondridge.core.AcceptMonitor;
+import pondridge.core.EventCounters;
 
 /**
  * Accepts watchers, for a source or a relay; {@link UpdateScheduler} decides what they are sent. Closes a
@@ -58,7 +60,9 @@
     /** Starts to accept watchers. The future holds the bound address or the failure. */
     CompletableFuture<InetSocketAddress> listen(InetSocketAddress bindAddress) {
         CompletableFuture<InetSocketAddress> boundAddress = new CompletableFuture<>();
-        new ServerBootstrap()
+        EventCounters counters = new EventCounters(line -> events.report("accept", "", line), System::nanoTime);
+        new AcceptMonitor(AcceptMonitor.DEFAULT_ACCEPTS_PER_TURN, counters, () -> {})
+                .installOn(new ServerBootstrap())
                 .group(loop)
                 .channel(NioServerSocketChannel.class)
                 .option(ChannelOption.SO_BACKLOG, 1_024)
--- a/src/main/java/pondridge/core/AcceptMonitor.java
+++ b/src/main/java/pondridge/core/AcceptMonitor.java
@@ -1,25 +1,50 @@
 package pondridge.core;
 
+import io.netty.bootstrap.ServerBootstrap;
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.ChannelInboundHandlerAdapter;
+import io.netty.channel.ChannelOption;
+import io.netty.channel.ServerChannelRecvByteBufAllocator;
+import java.util.concurrent.TimeUnit;
 
 /**
  * The first handler in the pipeline of a listener. Bounds how long the connections that are being accepted may have
- * waited in the backlog. The connections must use the same event loop.
+ * waited in the backlog, and keeps the listener going when accepting fails. The connections must use the same event
+ * loop.
  */
 public final class AcceptMonitor extends ChannelInboundHandlerAdapter {
+    /** Connections that a listener accepts for one poll, unless it needs another limit. */
+    public static final int DEFAULT_ACCEPTS_PER_TURN = 16;
+
+    private static final int MAX_RETRY_DELAY_MILLIS = 16;
+
     private final int maxAcceptsPerTurn;
+    private final EventCounters counters;
+    private final Runnable onDescriptorsExhausted;
     private ReadProgress progress;
     private long connectedAfter;
     private int accepted;
+    private int consecutiveFailures;
 
     /**
      * Creates the handler for one listener.
      *
      * @param maxAcceptsPerTurn how many connections the listener accepts for one poll at most
+     * @param onDescriptorsExhausted called if the process or the machine still has no file descriptor
+     *     left when accepting is tried again
      */
-    public AcceptMonitor(int maxAcceptsPerTurn) {
+    public AcceptMonitor(int maxAcceptsPerTurn, EventCounters counters, Runnable onDescriptorsExhausted) {
         this.maxAcceptsPerTurn = maxAcceptsPerTurn;
+        this.counters = counters;
+        this.onDescriptorsExhausted = onDescriptorsExhausted;
+    }
+
+    /** Adds this handler and its limit to a listener that is not bound yet. */
+    public ServerBootstrap installOn(ServerBootstrap listener) {
+        return listener.handler(this)
+                .option(
+                        ChannelOption.RECVBUF_ALLOCATOR,
+                        new ServerChannelRecvByteBufAllocator().maxMessagesPerRead(maxAcceptsPerTurn));
     }
 
     /** Connections that are being accepted were established after this time. */
@@ -52,15 +77,28 @@
         if (progress != null) {
             progress.dataRead(connectedAfter, accepted >= maxAcceptsPerTurn);
         }
+        consecutiveFailures = accepted > 0 ? 0 : consecutiveFailures;
         accepted = 0;
         context.fireChannelReadComplete();
     }
 
+    /** Accepting failed. Tries again: at once the first time, then after a delay that doubles up to a maximum. */
     @Override
     public void exceptionCaught(ChannelHandlerContext context, Throwable cause) {
         if (progress != null) {
             progress.dataRead(connectedAfter, true);
         }
-        context.fireExceptionCaught(cause);
+        counters.count(EventCounters.Kind.ACCEPT_FAILED, cause::toString);
+        if (consecutiveFailures > 0 && String.valueOf(cause.getMessage()).contains("Too many open files")) {
+            onDescriptorsExhausted.run();
+        }
+        int delayMillis = Math.min(MAX_RETRY_DELAY_MILLIS, (1 << Math.min(consecutiveFailures, 10)) >> 1);
+        consecutiveFailures++;
+        if (delayMillis > 0) {
+            context.channel().config().setAutoRead(false);
+            context.channel()
+                    .eventLoop()
+                    .schedule(() -> context.channel().config().setAutoRead(true), delayMillis, TimeUnit.MILLISECONDS);
+        }
     }
 }
--- a/src/main/java/pondridge/core/EventCounters.java
+++ b/src/main/java/pondridge/core/EventCounters.java
@@ -17,7 +17,9 @@
         /** A request had no time left when it was read. */
         REQUEST_EXPIRED,
         /** An attempt was not begun because its client had disconnected. */
-        CLIENT_GONE
+        CLIENT_GONE,
+        /** The listener could not accept a connection. */
+        ACCEPT_FAILED
     }
 
     private static final class Counter {
--- a/src/main/java/pondridge/http1/ConnectionTable.java
+++ b/src/main/java/pondridge/http1/ConnectionTable.java
@@ -130,9 +130,14 @@
      * accepted, and last those that have sent part of a request.
      */
     Entry<C> evictionCandidate(long now) {
+        return firstNonNull(restingCandidate(now), first(State.NEW), first(State.READING));
+    }
+
+    /** The connection to close that has no request and does not seem to be about to send its first, or null. */
+    Entry<C> restingCandidate(long now) {
         Entry<C> oldestNew = first(State.NEW);
         Entry<C> silent = oldestNew != null && now - oldestNew.since > SILENT_NANOS ? oldestNew : null;
-        return firstNonNull(first(State.LINGERING), silent, first(State.IDLE), oldestNew, first(State.READING));
+        return firstNonNull(first(State.LINGERING), silent, first(State.IDLE));
     }
 
     /** The connections that have exceeded the timeout of their state. */
--- a/src/main/java/pondridge/http1/Frontend.java
+++ b/src/main/java/pondridge/http1/Frontend.java
@@ -10,7 +10,6 @@
 import io.netty.channel.ChannelInitializer;
 import io.netty.channel.ChannelOption;
 import io.netty.channel.EventLoopGroup;
-import io.netty.channel.ServerChannelRecvByteBufAllocator;
 import io.netty.channel.SimpleChannelInboundHandler;
 import io.netty.channel.socket.DuplexChannel;
 import io.netty.channel.socket.nio.NioServerSocketChannel;
@@ -45,10 +44,12 @@
 import java.util.HashSet;
 import java.util.Set;
 import java.util.concurrent.TimeUnit;
+import java.util.function.LongFunction;
 import pondridge.BalancerOptions;
 import pondridge.core.AcceptMonitor;
 import pondridge.core.Client;
 import pondridge.core.ClientSocketMonitor;
+import pondridge.core.EventCounters;
 import pondridge.core.Headers;
 import pondridge.core.Job;
 import pondridge.core.JobReader;
@@ -104,6 +105,7 @@
     private long lastAcceptAt = System.nanoTime();
     private Channel serverChannel;
     private RequestLog log = RequestLog.NONE;
+    private EventCounters counters = EventCounters.unlogged();
 
     /** Creates a frontend that holds at most {@code maxConnections} client connections at once. */
     public Frontend(RequestProcessor requestProcessor, BalancerOptions options, int maxConnections) {
@@ -117,16 +119,14 @@
      * {@link #markReady}. May be called again if it failed.
      */
     public ChannelFuture listen(EventLoopGroup group, InetSocketAddress address) {
-        AcceptMonitor acceptMonitor = new AcceptMonitor(MAX_ACCEPTS_PER_TURN);
-        ChannelFuture bound = new ServerBootstrap()
+        AcceptMonitor acceptMonitor =
+                new AcceptMonitor(MAX_ACCEPTS_PER_TURN, counters, () -> evict(connections::restingCandidate));
+        ChannelFuture bound = acceptMonitor
+                .installOn(new ServerBootstrap())
                 .group(group)
                 .channel(NioServerSocketChannel.class)
                 .option(ChannelOption.SO_BACKLOG, 1024)
                 .option(ChannelOption.SO_REUSEADDR, true)
-                .option(
-                        ChannelOption.RECVBUF_ALLOCATOR,
-                        new ServerChannelRecvByteBufAllocator().maxMessagesPerRead(MAX_ACCEPTS_PER_TURN))
-                .handler(acceptMonitor)
                 .childOption(ChannelOption.TCP_NODELAY, true)
                 .childHandler(new ChannelInitializer<Channel>() {
                     @Override
@@ -163,6 +163,11 @@
         this.log = log;
     }
 
+    /** Sets the counters of failures of the listener; must be called before {@link #listen}. */
+    public void setCounters(EventCounters counters) {
+        this.counters = counters;
+    }
+
     /** From now on {@code /up} responds with 200. */
     public void markReady() {
         ready = true;
@@ -200,9 +205,13 @@
      * @return false if every connection holds a complete request
      */
     private boolean evictOne() {
-        for (var candidate = connections.evictionCandidate(System.nanoTime());
+        return evict(connections::evictionCandidate);
+    }
+
+    private boolean evict(LongFunction<ConnectionTable.Entry<Connection>> nextCandidate) {
+        for (var candidate = nextCandidate.apply(System.nanoTime());
                 candidate != null;
-                candidate = connections.evictionCandidate(System.nanoTime())) {
+                candidate = nextCandidate.apply(System.nanoTime())) {
             if (candidate.connection.closeUnlessRequestUnread("to make room")) {
                 return true;
             }
--- a/src/main/java/pondridge/http2/Http2Server.java
+++ b/src/main/java/pondridge/http2/Http2Server.java
@@ -9,7 +9,6 @@
 import io.netty.channel.ChannelInitializer;
 import io.netty.channel.ChannelOption;
 import io.netty.channel.EventLoop;
-import io.netty.channel.ServerChannelRecvByteBufAllocator;
 import io.netty.channel.socket.nio.NioServerSocketChannel;
 import io.netty.handler.codec.http2.DefaultHttp2GoAwayFrame;
 import io.netty.handler.codec.http2.Http2Error;
@@ -20,6 +19,7 @@
 import io.netty.handler.ssl.SslHandshakeCompletionEvent;
 import io.netty.handler.timeout.IdleStateEvent;
 import io.netty.handler.timeout.IdleStateHandler;
+import io.netty.util.NetUtil;
 import io.netty.util.ReferenceCountUtil;
 import io.netty.util.concurrent.Future;
 import java.net.InetSocketAddress;
@@ -33,6 +33,7 @@
 import java.util.function.LongSupplier;
 import pondridge.core.AcceptMonitor;
 import pondridge.core.ClientSocketMonitor;
+import pondridge.core.EventCounters;
 
 /**
  * Accepts HTTP/2 connections and enforces limits on them: the number of connections, the idle time, the bytes
@@ -44,7 +45,6 @@
     private static final int MAX_RESETS_PER_WINDOW = 200;
     private static final int RESET_WINDOW_SECONDS = 30;
     private static final long SECOND_NANOS = 1_000_000_000;
-    private static final int MAX_ACCEPTS_PER_TURN = 16;
     /** Time between the two GOAWAY frames of a graceful shutdown: slightly more than a round trip. */
     private static final long GOAWAY_INTERVAL_NANOS = 100_000_000;
 
@@ -118,15 +118,18 @@
 
     /** Starts to listen. */
     public ChannelFuture listen() {
-        AcceptMonitor acceptMonitor = new AcceptMonitor(MAX_ACCEPTS_PER_TURN);
-        ChannelFuture bound = new ServerBootstrap()
+        AcceptMonitor acceptMonitor = new AcceptMonitor(
+                AcceptMonitor.DEFAULT_ACCEPTS_PER_TURN,
+                new EventCounters(
+                        line -> events.warn(
+                                eventPrefix + "_accept", NetUtil.toSocketAddressString(limits.listenAddress()), line),
+                        clock),
+                () -> {});
+        ChannelFuture bound = acceptMonitor
+                .installOn(new ServerBootstrap())
                 .group(loop)
                 .channel(NioServerSocketChannel.class)
                 .option(ChannelOption.SO_REUSEADDR, true)
-                .option(
-                        ChannelOption.RECVBUF_ALLOCATOR,
-                        new ServerChannelRecvByteBufAllocator().maxMessagesPerRead(MAX_ACCEPTS_PER_TURN))
-                .handler(acceptMonitor)
                 .childOption(ChannelOption.TCP_NODELAY, true)
                 .childHandler(new ChannelInitializer<Channel>() {
                     @Override
--- a/src/main/java/pondridge/sidecar/Main.java
+++ b/src/main/java/pondridge/sidecar/Main.java
@@ -162,6 +162,7 @@
         engine.setCounters(counters);
         discovery.setRequestLog(requestLog);
         frontend.setRequestLog(requestLog);
+        frontend.setCounters(counters);
         if (settings != null && settings.control() != null) {
             SidecarControl.start(
                     loop, engine, settings.control(), config.cachedEndpoints().targets());
