--- a/src/test/java/pondridge/DiscoverySubscriptionTest.java
+++ b/src/test/java/pondridge/DiscoverySubscriptionTest.java
@@ -41,7 +41,7 @@
         return settings(askWithin, 250 * MS, 3);
     }
 
-    private static Settings settings(long askWithin, long drainGrace, int replicas) {
+    static Settings settings(long askWithin, long drainGrace, int replicas) {
         Settings base = RecordingHost.settings(DiscoveryMode.SUBSCRIBE, RecordingHost.REPEATABLE);
         SafetyLimits baseLimits = base.safetyLimits();
         return new Settings(
