Pause discovery calls after a wait in vain, and spread the first calls of many sidecars

Cause: the policy's interval of 0.6 to 1.2 s counts from the start of a call. A call that waited for 2 s in discovery's queue was followed by the next within 0.2 s, so a fleet offered more calls than discovery answers, for good; discovery works through refused calls too, so its queue stayed longer than the 2 s. First calls of processes started together filled it at once.

Change: with many sidecars (scaled as the slower pace is, none up to 8) a call refused after a wait of 1.2 to 2.3 s is followed by the next after 1.25 to 1.75 s, and a new process makes its first call within 1.5 s. Two waits of 2 s and the pause are within the 6 s; a call that hung without a response for longer is repeated as before.

Why it works: 40 sidecars call 11 times a second in place of 20, those answered leave, so the queue stays below the wait.

--- a/src/main/java/pondridge/LoadBalancingPolicy.java
+++ b/src/main/java/pondridge/LoadBalancingPolicy.java
@@ -53,7 +53,7 @@
 
     @Override
     public void start(long now) {
-        serverList.subscribe(now);
+        serverList.start(now);
         timers.armHostTimer();
     }
 
@@ -598,6 +598,19 @@
          * half of the 6 s by then.
          */
         private static final long MAX_PAUSE_AFTER_CALL_NANOS = 200_000_000L;
+        /**
+         * The pause, with many sidecars, after a call that waited in vain. Discovery works through the calls in its
+         * queue even if their callers have given up, so a fleet that calls again at once keeps the queue longer
+         * than a call may wait, and nobody gets a response. The waits of two calls, 2 s each, and the longest pause
+         * stay within the 6 s.
+         */
+        private static final long MIN_PAUSE_AFTER_TIMEOUT_NANOS = 1_250_000_000L;
+
+        private static final long MAX_PAUSE_AFTER_TIMEOUT_NANOS = 1_750_000_000L;
+        /** Discovery refuses a call that has waited for 2 s; one without any response for longer was not queued. */
+        private static final long MAX_QUEUED_CALL_NANOS = 2_300_000_000L;
+        /** Within this time after their start many sidecars that were started together make their first calls. */
+        private static final long MAX_FIRST_CALL_DELAY_NANOS = 1_500_000_000L;
 
         private final double overloadFactor = settings.safetyLimits().overloadFactor();
         /**
@@ -629,6 +642,17 @@
         private long failingSince;
         private boolean subscriptionBroken;
 
+        /** Makes the first call: at once, or with many sidecars after a delay drawn for this one. */
+        void start(long now) {
+            long delay = (long) (slowdownOfCalls() * MAX_FIRST_CALL_DELAY_NANOS * jitterRandom.nextDouble());
+            if (delay == 0 || settings.discoveryMode() != DiscoveryMode.SUBSCRIBE) {
+                subscribe(now);
+            } else {
+                subscribedAt = now;
+                scheduleSubscribe(now + delay);
+            }
+        }
+
         void subscribe(long now) {
             subscriptionBroken = false;
             if (settings.discoveryMode() == DiscoveryMode.SUBSCRIBE) {
@@ -659,19 +683,40 @@
             boolean rejectedEarly = failing && now - subscribedAt < MAX_SUBSCRIBE_INTERVAL_NANOS / 2;
             double intervalFactor = rejectedEarly ? intervalFactor(now - failingSince) : 1;
             long nextSlot = subscribedAt + (long) (intervalFactor * MAX_SUBSCRIBE_INTERVAL_NANOS * (1 + jitter) / 2);
-            scheduleSubscribe(Math.max(
-                    nextSlot, now + (long) ((failing ? MAX_PAUSE_AFTER_CALL_NANOS : reconnectJitterNanos) * jitter)));
+            scheduleSubscribe(Math.max(nextSlot, now + pauseNanos(now, jitter)));
             failing = true;
             subscriptionBroken = true;
         }
 
+        private long pauseNanos(long now, double jitter) {
+            if (!failing) {
+                return (long) (reconnectJitterNanos * jitter);
+            }
+            double pause = MAX_PAUSE_AFTER_CALL_NANOS * jitter;
+            long waited = now - subscribedAt;
+            if (waited >= MAX_SUBSCRIBE_INTERVAL_NANOS && waited <= MAX_QUEUED_CALL_NANOS) {
+                double pauseAfterTimeout = MIN_PAUSE_AFTER_TIMEOUT_NANOS
+                        + (MAX_PAUSE_AFTER_TIMEOUT_NANOS - MIN_PAUSE_AFTER_TIMEOUT_NANOS) * jitter;
+                pause = Math.max(pause, slowdownOfCalls() * pauseAfterTimeout);
+            }
+            return (long) pause;
+        }
+
+        /** How much slower than at full pace this fleet calls discovery: 0 for a small one, 1 for a large one. */
+        private double slowdownOfCalls() {
+            return (initialIntervalFactor() - 1) / (MAX_INTERVAL_FACTOR - 1);
+        }
+
+        private double initialIntervalFactor() {
+            return Math.max(1, Math.min(MAX_INTERVAL_FACTOR, settings.replicaCount() / REPLICAS_AT_FULL_PACE));
+        }
+
         /**
          * Returns the multiple of the normal interval between two calls for a sidecar that has waited this long
          * for a response.
          */
         private double intervalFactor(long waitedNanos) {
-            double initialFactor =
-                    Math.max(1, Math.min(MAX_INTERVAL_FACTOR, settings.replicaCount() / REPLICAS_AT_FULL_PACE));
+            double initialFactor = initialIntervalFactor();
             return Math.max(1, initialFactor - (initialFactor - 1) * waitedNanos / FULL_PACE_AFTER_NANOS);
         }
 
