--- a/src/main/java/pondridge/sidecar/RetryingBinder.java
+++ b/src/main/java/pondridge/sidecar/RetryingBinder.java
@@ -4,7 +4,6 @@
 import io.netty.channel.ChannelFuture;
 import io.netty.channel.EventLoop;
 import io.netty.util.NetUtil;
-import java.net.BindException;
 import java.net.InetSocketAddress;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
@@ -12,7 +11,7 @@
 
 /**
  * Binds a listener and retries for a limited time: after a restart the previous process may still hold the port, and
- * an address may come up late. Runs on the event loop, which is not blocked between attempts.
+ * an address may come up late, and the call may fail for a moment. Runs on the event loop, which is not blocked between attempts.
  */
 final class RetryingBinder {
     /** The previous process is ended by SIGKILL at most 3.7 s after its SIGTERM. */
@@ -35,8 +34,8 @@
     }
 
     /**
-     * Calls {@code bind} until its channel is bound. If the time limit passes, or the error is not a
-     * {@link BindException}, the process ends with one line and status 1.
+     * Calls {@code bind} until its channel is bound. If the time limit passes, the process ends with one line and
+     * status 1.
      *
      * @param address the address to name in that line
      * @param onBound receives the bound channel
@@ -51,7 +50,7 @@
         future.addListener(result -> {
             if (result.isSuccess()) {
                 onBound.accept(future.channel());
-            } else if (result.cause() instanceof BindException && System.nanoTime() - startNanos < BIND_TIMEOUT_NANOS) {
+            } else if (System.nanoTime() - startNanos < BIND_TIMEOUT_NANOS) {
                 loop.schedule(this::tryBind, RETRY_DELAY_MS, TimeUnit.MILLISECONDS);
             } else {
                 System.err.println("pondridge: listen: " + NetUtil.toSocketAddressString(address) + ": "
