Count a server connection's idle time from its response's arrival

It counts from the last poll before the response now. UpstreamsTest.idleTimeOfAConnectionCountsFromTheResponsesArrival: red with the line broken (one connection in place of two).

--- a/src/main/java/pondridge/core/MonitoredIoHandler.java
+++ b/src/main/java/pondridge/core/MonitoredIoHandler.java
@@ -43,6 +43,15 @@
         return POLLS_OF_LOOP.get();
     }
 
+    /**
+     * A time before which bytes that are being read from an open connection did not arrive: now, less the time that
+     * the event loop of this thread needed since it last looked at its sockets.
+     */
+    public static long arrivedAfter() {
+        PollTimes polls = pollsOfCurrentLoop();
+        return polls == null || polls.handled() == 0 ? System.nanoTime() : polls.handledAt();
+    }
+
     @Override
     public void initialize() {
         POLLS_OF_LOOP.set(polls);
--- a/src/main/java/pondridge/http1/Upstreams.java
+++ b/src/main/java/pondridge/http1/Upstreams.java
@@ -48,6 +48,7 @@
 import pondridge.core.Headers;
 import pondridge.core.Job;
 import pondridge.core.LoadReports;
+import pondridge.core.MonitoredIoHandler;
 import pondridge.core.ResponseClassifier;
 import pondridge.core.Transport;
 import pondridge.core.UpstreamResponse;
@@ -241,7 +242,7 @@
                 if (now - next.idleSince >= idleTimeoutNanos) {
                     return null;
                 }
-                if (now - next.idleSince < settleNanos) {
+                if (now - next.readAt < settleNanos) {
                     continue;
                 }
                 each.remove();
@@ -421,7 +422,11 @@
         private final int generation;
         private Channel channel;
         private Http1Attempt current;
+        /** When the last response may have arrived: the upstream's idle timeout runs from before then. */
         private long idleSince;
+        /** When the last response was read. */
+        private long readAt;
+
         private HttpResponse head;
         private HttpHeaders headers;
         private ByteArrayOutputStream body;
@@ -573,7 +578,8 @@
             body = null;
             complete = false;
             if (reusable) {
-                idleSince = System.nanoTime();
+                readAt = System.nanoTime();
+                idleSince = MonitoredIoHandler.arrivedAfter();
                 pool.idle.addLast(this);
             } else {
                 close();
--- a/src/test/java/pondridge/http1/UpstreamsTest.java
+++ b/src/test/java/pondridge/http1/UpstreamsTest.java
@@ -6,7 +6,6 @@
 
 import io.netty.channel.EventLoop;
 import io.netty.channel.MultiThreadIoEventLoopGroup;
-import io.netty.channel.nio.NioIoHandler;
 import io.netty.handler.codec.http.DefaultHttpHeaders;
 import io.netty.handler.codec.http.HttpMethod;
 import java.net.InetSocketAddress;
@@ -26,7 +25,9 @@
 import org.junit.jupiter.api.Test;
 import pondridge.Balancer.Outcome;
 import pondridge.BalancerOptions;
+import pondridge.core.EventCounters;
 import pondridge.core.Job;
+import pondridge.core.MonitoredIoHandler;
 import pondridge.core.Transport;
 import pondridge.core.Transport.Listener;
 import pondridge.core.UpstreamResponse;
@@ -34,7 +35,8 @@
 /** Tests the outcomes of attempts and probes on real connections. */
 class UpstreamsTest {
     private static final long LONG_TIMEOUT_NANOS = 60_000_000_000L;
-    private final MultiThreadIoEventLoopGroup group = new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory());
+    private final MultiThreadIoEventLoopGroup group =
+            new MultiThreadIoEventLoopGroup(1, MonitoredIoHandler.newFactory(EventCounters.unlogged()));
     private final EventLoop loop = group.next();
     private final BlockingQueue<Outcome> outcomes = new LinkedBlockingQueue<>();
     private final BlockingQueue<float[]> reports = new LinkedBlockingQueue<>();
@@ -277,6 +279,32 @@
         }
     }
 
+    /** The response arrives during a standstill of the loop: the upstream's idle timeout runs from then. */
+    @Test
+    void idleTimeOfAConnectionCountsFromTheResponsesArrival() throws Exception {
+        Set<Socket> sockets = ConcurrentHashMap.newKeySet();
+        try (StubServer upstream =
+                new StubServer((socket, head) -> sockets.add(socket) | StubServer.reply(socket, "200 OK", "", "x"))) {
+            BalancerOptions options = new BalancerOptions("caps.connIdle=1000000000");
+            Upstreams upstreams =
+                    loop.submit(() -> new Upstreams(loop, options, 10)).get();
+            loop.execute(() -> upstreams.updateEndpoint(1, upstream.address(), 0, true));
+            send(upstreams);
+            assertEquals(Outcome.OK, StubServer.awaitNext(outcomes));
+            loop.execute(() -> {
+                upstreams.send(1, get("/api/x"), LONG_TIMEOUT_NANOS, (outcome, response, load) -> {
+                    outcomes.add(outcome);
+                    LockSupport.parkNanos(400_000_000);
+                    upstreams.send(1, get("/api/y"), LONG_TIMEOUT_NANOS, this::ended);
+                });
+                LockSupport.parkNanos(700_000_000);
+            });
+            assertEquals(Outcome.OK, StubServer.awaitNext(outcomes));
+            assertEquals(Outcome.OK, StubServer.awaitNext(outcomes));
+            assertEquals(2, sockets.size());
+        }
+    }
+
     /**
      * A second response in transit while the next request is written would be taken for that request's. Once
      * unsolicited data was received, a connection pauses after each response before it is reused.
