Read discovery's socket before anything is sent after a stall of the loop

After a standstill longer than the grace (0.5 s for some customers) the loop could handle another event first, such as a response that makes a retry due or a connection that is established, and send to a server whose grace was over.

Change: if the loop has not looked at its sockets for 50 ms, the engine reads discovery's before it passes an event to the balancer and before an attempt's first byte. An attempt that the list ends meanwhile is not written. ClientSocketMonitor is SocketMonitor now, as it serves both.

--- a/src/main/java/pondridge/core/EndpointDiscovery.java
+++ b/src/main/java/pondridge/core/EndpointDiscovery.java
@@ -7,4 +7,7 @@
 
     /** Requests the full list once. */
     void fetch();
+
+    /** Reads what lies unread in the sockets to discovery and reports it at once. */
+    default void readUnread() {}
 }
--- a/src/main/java/pondridge/core/Engine.java
+++ b/src/main/java/pondridge/core/Engine.java
@@ -116,6 +116,7 @@
         private final long writeDeadline;
 
         private Future<?> withdrawTimer;
+        private boolean ended;
 
         PendingAttempt(long requestId, OpenRequest request, int number, long upstream, long sentAt) {
             this.requestId = requestId;
@@ -142,11 +143,17 @@
 
         @Override
         public boolean shouldWrite() {
-            return !request.closed && now() < writeDeadline && clientConnected(request) && now() < writeDeadline;
+            readListAfterStall();
+            return !ended
+                    && !request.closed
+                    && now() < writeDeadline
+                    && clientConnected(request)
+                    && now() < writeDeadline;
         }
 
         @Override
         public void ended(Outcome outcome, UpstreamResponse response, float[] load) {
+            ended = true;
             if (withdrawTimer != null) {
                 withdrawTimer.cancel(false);
             }
@@ -175,6 +182,7 @@
     /** Server names by upstream id; filled only if the request log is on. */
     private final Map<Long, String> namesForLog = new HashMap<>();
 
+    private long listReadAt;
     private boolean dispatching;
     private boolean retired;
     private long shutdownAt = Long.MAX_VALUE;
@@ -218,10 +226,12 @@
 
     /** Passes one event to the balancer. Events raised meanwhile are queued: the balancer is not reentrant. */
     private void dispatch(LongConsumer event) {
-        pendingEvents.add(event);
         if (dispatching) {
+            pendingEvents.add(event);
             return;
         }
+        readListAfterStall();
+        pendingEvents.add(event);
         dispatching = true;
         try {
             for (LongConsumer next = pendingEvents.poll(); next != null; next = pendingEvents.poll()) {
@@ -236,6 +246,20 @@
         }
     }
 
+    /**
+     * After a stall of the event loop, reads what discovery has sent before anything else is decided or written: a
+     * change counts as received when discovery has written it, and its grace may have passed meanwhile.
+     */
+    private void readListAfterStall() {
+        long now = System.nanoTime();
+        if (discovery != null
+                && now - MonitoredIoHandler.arrivedAfter() > MAX_UNREAD_NANOS
+                && now - listReadAt > MAX_UNREAD_NANOS) {
+            listReadAt = now;
+            discovery.readUnread();
+        }
+    }
+
     /** The number of a name; a new name gets the next free one. */
     private static int numberOf(Map<String, Integer> numbers, String name) {
         return numbers.computeIfAbsent(name, added -> numbers.size());
--- a/src/main/java/pondridge/core/ClientSocketMonitor.java
+++ b/src/main/java/pondridge/core/SocketMonitor.java
@@ -7,11 +7,11 @@
 import io.netty.channel.nio.AbstractNioChannel;
 
 /**
- * The first handler in the pipeline of a client connection. Bounds how long ago the bytes that are being read arrived,
- * and reads the unread bytes of the socket on demand, so that a disconnect is detected before a request is forwarded
- * for that client. On an event loop that is not a {@link MonitoredIoHandler} ages are unknown and count as 0.
+ * The first handler in the pipeline of a connection whose unread bytes matter: a client's, which may have disconnected,
+ * and discovery's, which may have sent a change. Bounds how long ago the bytes that are being read arrived, and reads
+ * the unread ones on demand. On an event loop that is not a {@link MonitoredIoHandler} ages are unknown and count as 0.
  */
-public final class ClientSocketMonitor extends ChannelInboundHandlerAdapter {
+public final class SocketMonitor extends ChannelInboundHandlerAdapter {
     /**
      * Part of the bound that does not count as a request's age, since a loop without a stall polls that rarely. An
      * attempt may begin up to 0.1 s after its client has left, which leaves the rest for the time to the write.
@@ -26,19 +26,25 @@
     private boolean dataRead;
     private boolean mayHaveMore;
 
+    /** Creates the monitor of a connection that is opened here. */
+    public SocketMonitor() {
+        PollTimes polls = MonitoredIoHandler.pollsOfCurrentLoop();
+        progress = polls == null ? null : new ReadProgress(polls, System.nanoTime());
+    }
+
     /**
      * Creates the monitor of a connection that was just accepted.
      *
      * @param listener its listener, whose backlog the connection may have been in
      */
-    public ClientSocketMonitor(AcceptMonitor listener) {
+    public SocketMonitor(AcceptMonitor listener) {
         PollTimes polls = MonitoredIoHandler.pollsOfCurrentLoop();
         progress = polls == null ? null : new ReadProgress(polls, listener.connectedAfter());
     }
 
     /** How long ago the bytes that are being read may have arrived, in nanoseconds; 0 within the tolerance. */
     public static long dataAgeNanos(Channel channel) {
-        ClientSocketMonitor monitor = channel.pipeline().get(ClientSocketMonitor.class);
+        SocketMonitor monitor = channel.pipeline().get(SocketMonitor.class);
         if (monitor == null || monitor.progress == null) {
             return 0;
         }
@@ -48,7 +54,7 @@
 
     /** How long ago a disconnect that has not been read yet may have arrived, in nanoseconds. */
     public static long unreadNanos(Channel channel) {
-        ClientSocketMonitor monitor = channel.pipeline().get(ClientSocketMonitor.class);
+        SocketMonitor monitor = channel.pipeline().get(SocketMonitor.class);
         if (monitor == null || monitor.progress == null || !channel.config().isAutoRead()) {
             return Long.MAX_VALUE;
         }
@@ -56,17 +62,24 @@
     }
 
     /**
-     * Whether a client's connection is still open.
+     * Whether a connection is still open.
      *
-     * @param readSocket whether to read the socket first; not possible from within a read of it
+     * @param readSocket whether to read the socket first, as {@link #readUnread} does
      */
     public static boolean isConnected(Channel channel, boolean readSocket) {
-        ClientSocketMonitor monitor = channel.pipeline().get(ClientSocketMonitor.class);
+        if (readSocket) {
+            readUnread(channel);
+        }
+        return channel.isActive();
+    }
+
+    /** Reads what lies unread in the socket; does nothing from within a read of it. */
+    public static void readUnread(Channel channel) {
+        SocketMonitor monitor = channel.pipeline().get(SocketMonitor.class);
         // A read from within a read would pass later bytes to the decoders before earlier ones.
-        if (readSocket && monitor != null && !monitor.reading) {
+        if (monitor != null && !monitor.reading) {
             monitor.readUntilEmpty(channel);
         }
-        return channel.isActive();
     }
 
     private void readUntilEmpty(Channel channel) {
--- a/src/main/java/pondridge/gateway/LinkRequestHandler.java
+++ b/src/main/java/pondridge/gateway/LinkRequestHandler.java
@@ -32,9 +32,9 @@
 import pondridge.Balancer.RetrySemantics;
 import pondridge.core.AttemptSummary;
 import pondridge.core.Client;
-import pondridge.core.ClientSocketMonitor;
 import pondridge.core.Job;
 import pondridge.core.JobReader;
+import pondridge.core.SocketMonitor;
 import pondridge.core.UpstreamResponse;
 import pondridge.http2.BufferBudget;
 
@@ -200,7 +200,7 @@
                 job = reader.read(request.method(), request.uri(), headers)
                         .withBody(ByteBufUtil.getBytes(request.content()));
                 job = job.withTimeLeft(Math.min(timeLeftNanos, job.clientTimeoutMillis() * 1_000_000))
-                        .aged(ClientSocketMonitor.dataAgeNanos(stream.parent()));
+                        .aged(SocketMonitor.dataAgeNanos(stream.parent()));
             } catch (IllegalArgumentException e) {
                 log.warn("link_request", site, e.getMessage());
                 respond(HttpResponseStatus.BAD_REQUEST, new byte[0], null);
@@ -247,12 +247,12 @@
 
         @Override
         public long unreadNanos() {
-            return runsToEnd ? 0 : ClientSocketMonitor.unreadNanos(stream.parent());
+            return runsToEnd ? 0 : SocketMonitor.unreadNanos(stream.parent());
         }
 
         @Override
         public boolean isConnected(boolean readSocket) {
-            return runsToEnd || ClientSocketMonitor.isConnected(stream.parent(), readSocket) && stream.isActive();
+            return runsToEnd || SocketMonitor.isConnected(stream.parent(), readSocket) && stream.isActive();
         }
 
         @Override
--- a/src/main/java/pondridge/grpc/GrpcFrontend.java
+++ b/src/main/java/pondridge/grpc/GrpcFrontend.java
@@ -33,11 +33,11 @@
 import java.util.concurrent.TimeUnit;
 import pondridge.BalancerOptions;
 import pondridge.core.Client;
-import pondridge.core.ClientSocketMonitor;
 import pondridge.core.Headers;
 import pondridge.core.Job;
 import pondridge.core.JobReader;
 import pondridge.core.RequestProcessor;
+import pondridge.core.SocketMonitor;
 import pondridge.core.UpstreamResponse;
 import pondridge.http2.BufferBudget;
 import pondridge.http2.Http2Server;
@@ -244,7 +244,7 @@
             }
             Job job;
             try {
-                job = toJob(decoded.message()).aged(ClientSocketMonitor.dataAgeNanos(stream.parent()));
+                job = toJob(decoded.message()).aged(SocketMonitor.dataAgeNanos(stream.parent()));
             } catch (IllegalArgumentException e) {
                 end(GrpcCode.INVALID_ARGUMENT, e.getMessage(), 0);
                 return;
@@ -306,12 +306,12 @@
 
         @Override
         public long unreadNanos() {
-            return ClientSocketMonitor.unreadNanos(stream.parent());
+            return SocketMonitor.unreadNanos(stream.parent());
         }
 
         @Override
         public boolean isConnected(boolean readSocket) {
-            return ClientSocketMonitor.isConnected(stream.parent(), readSocket) && stream.isActive();
+            return SocketMonitor.isConnected(stream.parent(), readSocket) && stream.isActive();
         }
 
         @Override
--- a/src/main/java/pondridge/http1/Frontend.java
+++ b/src/main/java/pondridge/http1/Frontend.java
@@ -48,13 +48,13 @@
 import pondridge.BalancerOptions;
 import pondridge.core.AcceptMonitor;
 import pondridge.core.Client;
-import pondridge.core.ClientSocketMonitor;
 import pondridge.core.EventCounters;
 import pondridge.core.Headers;
 import pondridge.core.Job;
 import pondridge.core.JobReader;
 import pondridge.core.RequestLog;
 import pondridge.core.RequestProcessor;
+import pondridge.core.SocketMonitor;
 import pondridge.core.UpstreamResponse;
 import pondridge.http1.ConnectionTable.State;
 
@@ -139,7 +139,7 @@
                         Connection connection = new Connection(accepted);
                         accepted.pipeline()
                                 .addLast(
-                                        new ClientSocketMonitor(acceptMonitor),
+                                        new SocketMonitor(acceptMonitor),
                                         new HttpResponseEncoder(),
                                         connection.new Decoder(),
                                         connection);
@@ -294,7 +294,7 @@
         private void expire() {
             State before = entry.state();
             long since = entry.since();
-            if (!ClientSocketMonitor.isConnected(channel, true) || !isIn(before) || entry.since() != since) {
+            if (!SocketMonitor.isConnected(channel, true) || !isIn(before) || entry.since() != since) {
                 return;
             }
             if (isIn(State.READING)) {
@@ -313,7 +313,7 @@
         private boolean closeUnlessRequestUnread(String reason) {
             State before = entry.state();
             long since = entry.since();
-            if (!ClientSocketMonitor.isConnected(channel, true)) {
+            if (!SocketMonitor.isConnected(channel, true)) {
                 connections.remove(entry);
                 return true;
             }
@@ -348,8 +348,7 @@
                     return;
                 }
                 pipelined.add(new PipelinedMessage(
-                        ReferenceCountUtil.retain(message),
-                        System.nanoTime() - ClientSocketMonitor.dataAgeNanos(channel)));
+                        ReferenceCountUtil.retain(message), System.nanoTime() - SocketMonitor.dataAgeNanos(channel)));
                 addPipelinedBytes(pipelinedSize(message));
                 if (pipelinedBytes > GUARANTEED_PIPELINED_BYTES
                         && (pipelinedBytes > MAX_PIPELINED_BYTES || totalPipelinedBytes > MAX_TOTAL_PIPELINED_BYTES)) {
@@ -422,7 +421,7 @@
                 reject(HttpResponseStatus.CONFLICT, "Req-Id in use");
                 return;
             }
-            long ageNanos = queuedNanos > 0 ? queuedNanos : ClientSocketMonitor.dataAgeNanos(channel);
+            long ageNanos = queuedNanos > 0 ? queuedNanos : SocketMonitor.dataAgeNanos(channel);
             if (ageNanos > 0) {
                 log.requestAged(clientRequestId, ageNanos);
             }
@@ -439,12 +438,12 @@
 
         @Override
         public long unreadNanos() {
-            return ClientSocketMonitor.unreadNanos(channel);
+            return SocketMonitor.unreadNanos(channel);
         }
 
         @Override
         public boolean isConnected(boolean readSocket) {
-            return ClientSocketMonitor.isConnected(channel, readSocket);
+            return SocketMonitor.isConnected(channel, readSocket);
         }
 
         @Override
--- a/src/main/java/pondridge/http2/Http2Server.java
+++ b/src/main/java/pondridge/http2/Http2Server.java
@@ -32,8 +32,8 @@
 import java.util.function.Function;
 import java.util.function.LongSupplier;
 import pondridge.core.AcceptMonitor;
-import pondridge.core.ClientSocketMonitor;
 import pondridge.core.EventCounters;
+import pondridge.core.SocketMonitor;
 
 /**
  * Accepts HTTP/2 connections and enforces limits on them: the number of connections, the idle time, the bytes
@@ -203,7 +203,7 @@
                     TimeUnit.NANOSECONDS);
             channel.closeFuture().addListener(closed -> drainTask.cancel(false));
         }
-        channel.pipeline().addLast(new ClientSocketMonitor(acceptMonitor));
+        channel.pipeline().addLast(new SocketMonitor(acceptMonitor));
         if (tlsHandlerFactory != null) {
             channel.pipeline().addLast(tlsHandlerFactory.apply(channel));
         }
--- a/src/main/java/pondridge/platform/DiscoveryClient.java
+++ b/src/main/java/pondridge/platform/DiscoveryClient.java
@@ -34,6 +34,7 @@
 import pondridge.core.EndpointDiscovery;
 import pondridge.core.Json;
 import pondridge.core.RequestLog;
+import pondridge.core.SocketMonitor;
 import pondridge.core.Target;
 
 /**
@@ -233,6 +234,15 @@
         new Call(false).open();
     }
 
+    @Override
+    public void readUnread() {
+        for (Call call : List.copyOf(openCalls)) {
+            if (call.channel != null && call.channel.isActive()) {
+                SocketMonitor.readUnread(call.channel);
+            }
+        }
+    }
+
     /** After a switch, fetches the new service's full list until it has arrived, with one call at a time. */
     private void fetchFullListIfPending() {
         if (fullListPending && openCalls.stream().allMatch(call -> call.watching)) {
@@ -282,7 +292,7 @@
                         @Override
                         protected void initChannel(Channel created) {
                             channel = created;
-                            created.pipeline().addLast(new HttpClientCodec(), Call.this);
+                            created.pipeline().addLast(new SocketMonitor(), new HttpClientCodec(), Call.this);
                         }
                     })
                     .connect(address)
--- a/src/test/java/pondridge/sidecar/EventLoopStallTest.java
+++ b/src/test/java/pondridge/sidecar/EventLoopStallTest.java
@@ -2,6 +2,7 @@
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertNotEquals;
 import static org.junit.jupiter.api.Assertions.assertThrows;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
@@ -132,6 +133,58 @@
         retryAfterDisconnect(true);
     }
 
+    /** A change of the list arrives during the stall, behind the response that makes a retry due. */
+    @Test
+    void noRetryIsSentToAServerThatBeganToDrainDuringAStall() throws Exception {
+        BlockingQueue<Socket> received = new LinkedBlockingQueue<>();
+        BlockingQueue<Socket> watches = new LinkedBlockingQueue<>();
+        StubServer.Script script = (socket, head) -> {
+            if (StubServer.header(head, "Req-Id").startsWith("warm")) {
+                return StubServer.reply(socket, "200 OK", "", "x");
+            }
+            received.add(socket);
+            return true;
+        };
+        try (StubServer one = new StubServer(script);
+                StubServer two = new StubServer(script);
+                StubServer discovery = new StubServer((socket, head) -> {
+                    StubServer.write(socket, "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n1\r\n\n\r\n");
+                    return watches.add(socket);
+                });
+                SidecarFixture sidecar =
+                        startSidecar(SidecarFixture.config(one, two).put("discovery", discovery.endpoint()));
+                SidecarFixture.Client client = new SidecarFixture.Client(sidecar.address)) {
+            sidecar.loop.execute(sidecar.discovery::startIfPushed);
+            Socket watch = StubServer.awaitNext(watches);
+            for (int i = 0; one.requestHeads.isEmpty() || two.requestHeads.isEmpty(); i++) {
+                assertTrue(i < 1000, "one server never gets a request");
+                assertEquals(
+                        200,
+                        sidecar.exchange(SidecarFixture.safeRequest("warm" + i)).status());
+                assertEquals(Outcome.OK, StubServer.awaitNext(outcomes));
+            }
+            StubServer.write(client.socket, SidecarFixture.safeRequest("a"));
+            Socket first = StubServer.awaitNext(received);
+            boolean firstIsOne = first.getLocalPort() == one.address().getPort();
+            String change = SidecarFixture.endpointList(
+                                    42,
+                                    false,
+                                    SidecarFixture.target(
+                                            firstIsOne ? "s-1" : "s-0",
+                                            (firstIsOne ? two : one).endpoint(),
+                                            "DRAINING"))
+                            .toString()
+                    + "\n";
+            whileStalled(sidecar, () -> {
+                StubServer.reply(first, "500 Error", "", "x");
+                StubServer.write(watch, Integer.toHexString(change.length()) + "\r\n" + change + "\r\n");
+            });
+            assertEquals(Outcome.ERROR, StubServer.awaitNext(outcomes));
+            assertNotEquals(200, client.readResponse().status());
+            assertEquals(0, received.size(), "requests to the server that drains");
+        }
+    }
+
     /** A complete request and its client's disconnect are read together: the request is not forwarded. */
     @Test
     void aRequestOfADisconnectedClientIsNotSent() throws Exception {
