Answer open requests early enough for a standstill at SIGTERM

Fault of the report's class: SIGKILL may come 0.7 s after the longest deadline, counted from SIGTERM, but the last responses were due 0.45 s after it, counted from the JVM's hook. With a standstill of 0.35 s while SIGTERM arrives the response came 3.83 s after it where 3.7 s are left; StandstillIT.openRequestsAreAnsweredBeforeSigkillAfterAStandstillAtSigterm, red before, green now. They are due 0.1 s after the longest deadline now.

--- a/src/main/java/pondridge/sidecar/Main.java
+++ b/src/main/java/pondridge/sidecar/Main.java
@@ -34,8 +34,8 @@
     private static final long MAX_COUNTED_DEADLINE_MS = 3_000;
 
     private static final long SIGKILL_MARGIN_MS = 600;
-    /** Part of the margin that is reserved for writing the last responses. */
-    private static final long FINAL_WRITES_MS = 150;
+    /** Part of the margin that is reserved for writing the last responses, also after a stall of the process. */
+    private static final long FINAL_WRITES_MS = 500;
 
     private static final long DRAIN_POLL_MS = 20;
     /**
--- a/src/test/java/pondridge/sidecar/StandstillIT.java
+++ b/src/test/java/pondridge/sidecar/StandstillIT.java
@@ -22,6 +22,9 @@
     private static final int REQUESTS_PER_SECOND = 100;
     private static final long DURATION_MS = 9_000;
     private static final long RUN_MS = 1_150;
+    private static final long STANDSTILL_AT_SIGTERM_MS = 350;
+    /** The longest deadline, of which 3 s count, and 0.7 s. */
+    private static final long EARLIEST_SIGKILL_MS = 3_700;
 
     @TempDir
     private Path directory;
@@ -61,6 +64,27 @@
         }
     }
 
+    /** SIGTERM arrives during a standstill: the time until SIGKILL runs from then. */
+    @Test
+    void openRequestsAreAnsweredBeforeSigkillAfterAStandstillAtSigterm() throws Exception {
+        try (StubServer hung = new StubServer((socket, head) -> true);
+                DeployedProcess sidecar = new DeployedProcess(directory, SidecarFixture.config(hung))) {
+            sidecar.awaitUp();
+            try (SidecarFixture.Client client = new SidecarFixture.Client(sidecar.address)) {
+                StubServer.write(client.socket, SidecarFixture.safeRequest("a"));
+                StubServer.awaitNext(hung.requestHeads);
+                sidecar.signal("STOP");
+                sidecar.signal("TERM");
+                long sigtermAt = System.nanoTime();
+                Thread.sleep(STANDSTILL_AT_SIGTERM_MS);
+                sidecar.signal("CONT");
+                assertEquals(503, client.readResponse().status());
+                long answeredAfterMs = (System.nanoTime() - sigtermAt) / 1_000_000;
+                assertTrue(answeredAfterMs < EARLIEST_SIGKILL_MS, answeredAfterMs + " ms after SIGTERM");
+            }
+        }
+    }
+
     @ParameterizedTest
     @ValueSource(longs = {200, 350, 600})
     void noAttemptBeginsAfterItsClientLeftDuringAStandstill(long stopMs) throws Exception {
