--- a/src/test/java/pondridge/grpc/GrpcFramesTest.java
+++ b/src/test/java/pondridge/grpc/GrpcFramesTest.java
@@ -1,6 +1,7 @@
 package pondridge.grpc;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertNotEquals;
 
 import io.netty.bootstrap.Bootstrap;
 import io.netty.buffer.Unpooled;
@@ -9,7 +10,6 @@
 import io.netty.channel.ChannelInboundHandlerAdapter;
 import io.netty.channel.ChannelInitializer;
 import io.netty.channel.MultiThreadIoEventLoopGroup;
-import io.netty.channel.nio.NioIoHandler;
 import io.netty.channel.socket.nio.NioSocketChannel;
 import io.netty.handler.codec.http2.DefaultHttp2DataFrame;
 import io.netty.handler.codec.http2.DefaultHttp2Headers;
@@ -25,9 +25,11 @@
 import io.netty.util.ReferenceCountUtil;
 import java.net.InetAddress;
 import java.net.InetSocketAddress;
+import java.util.ArrayList;
 import java.util.Arrays;
 import java.util.List;
 import java.util.Map;
+import java.util.concurrent.Callable;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.TimeUnit;
@@ -35,6 +37,8 @@
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
 import pondridge.Balancer.UpstreamState;
+import pondridge.core.EventCounters;
+import pondridge.core.MonitoredIoHandler;
 import pondridge.core.Target;
 import pondridge.demo.StandinOptions;
 import pondridge.http2.TransportHarness;
@@ -50,7 +54,8 @@
 class GrpcFramesTest {
     private static final long NANOS_PER_MILLI = 1_000_000;
     private static final byte[] ONE_MESSAGE = MessageReader.frame(new byte[] {1});
-    private final MultiThreadIoEventLoopGroup group = new MultiThreadIoEventLoopGroup(3, NioIoHandler.newFactory());
+    private final MultiThreadIoEventLoopGroup group =
+            new MultiThreadIoEventLoopGroup(3, MonitoredIoHandler.newFactory(EventCounters.unlogged()));
     private final ExecutionLedger ledger = new ExecutionLedger(5_000 * NANOS_PER_MILLI, 2_000 * NANOS_PER_MILLI);
     private StandinServer server;
     private GrpcTestFixture fixture;
@@ -254,6 +259,32 @@
     @Test
     void callCancelledWhileTheLoopIsBlockedIsNotForwarded() throws Exception {
         assertEquals("0", call(headers("order-book", "r1"), true, ONE_MESSAGE).await());
+        whileLoopIsBlocked(
+                // Longer than a disconnect may go unnoticed.
+                150, () -> call(headers("order-book", "r2"), true, ONE_MESSAGE).stream()
+                        .writeAndFlush(new DefaultHttp2ResetFrame(Http2Error.CANCEL))
+                        .sync());
+        TransportHarness.waitUntil(
+                () -> fixture.engine().requestCount() == 2 && fixture.isIdle(), "the call has ended");
+        assertEquals("0", call(headers("order-book", "r3"), true, ONE_MESSAGE).await());
+        assertEquals(2, server.executions(), "the cancelled call was not executed");
+    }
+
+    /** A call arrives while the event loop is blocked for longer than its timeout: it is not forwarded. */
+    @Test
+    void callThatExpiredWhileTheLoopWasBlockedIsNotForwarded() throws Exception {
+        assertEquals("0", call(headers("order-book", "r1"), true, ONE_MESSAGE).await());
+        List<Call> expired = new ArrayList<>();
+        whileLoopIsBlocked(
+                300,
+                () -> expired.add(call(headers("order-book", "r2").set("grpc-timeout", "100m"), true, ONE_MESSAGE)));
+        assertNotEquals("0", expired.get(0).await());
+        assertEquals("0", call(headers("order-book", "r3"), true, ONE_MESSAGE).await());
+        assertEquals(2, server.executions(), "the expired call was not executed");
+    }
+
+    /** Runs while the event loop of the front end does nothing, for this long after the action. */
+    private void whileLoopIsBlocked(long millis, Callable<?> action) throws Exception {
         CountDownLatch blocked = new CountDownLatch(1);
         CountDownLatch release = new CountDownLatch(1);
         fixture.loop().execute(() -> {
@@ -265,16 +296,9 @@
             }
         });
         blocked.await();
-        call(headers("order-book", "r2"), true, ONE_MESSAGE).stream()
-                .writeAndFlush(new DefaultHttp2ResetFrame(Http2Error.CANCEL))
-                .sync();
-        // Longer than a disconnect may go unnoticed.
-        Thread.sleep(150);
+        action.call();
+        Thread.sleep(millis);
         release.countDown();
-        TransportHarness.waitUntil(
-                () -> fixture.engine().requestCount() == 2 && fixture.isIdle(), "the call has ended");
-        assertEquals("0", call(headers("order-book", "r3"), true, ONE_MESSAGE).await());
-        assertEquals(2, server.executions(), "the cancelled call was not executed");
     }
 
     private void stop() {
