--- a/src/test/java/pondridge/sidecar/DeployCommandIT.java
+++ b/src/test/java/pondridge/sidecar/DeployCommandIT.java
@@ -12,7 +12,6 @@
 import java.net.ConnectException;
 import java.net.InetAddress;
 import java.net.InetSocketAddress;
-import java.net.ServerSocket;
 import java.nio.ByteBuffer;
 import java.nio.channels.SocketChannel;
 import java.nio.charset.StandardCharsets;
@@ -49,11 +48,7 @@
     }
 
     private void start(String key, ObjectNode config, String... arguments) throws IOException {
-        String line = Files.readAllLines(Path.of("deploy/balancer.toml")).stream()
-                .filter(each -> each.startsWith(key + " = \""))
-                .findFirst()
-                .orElseThrow();
-        String command = line.substring(line.indexOf('"') + 1, line.lastIndexOf('"')) + String.join("", arguments);
+        String command = DeployedProcess.command(key) + String.join("", arguments);
         Path file = write(config.toString());
         ProcessBuilder builder = new ProcessBuilder("/bin/sh", "-c", shellPrefix + command);
         builder.environment().put("PROXY_CONFIG", file.toString());
@@ -82,12 +77,6 @@
         return process.exitValue();
     }
 
-    private static InetSocketAddress freeAddress() throws IOException {
-        try (ServerSocket any = new ServerSocket(0, 1, InetAddress.getLoopbackAddress())) {
-            return (InetSocketAddress) any.getLocalSocketAddress();
-        }
-    }
-
     private void awaitUp(InetSocketAddress address) throws Exception {
         while (true) {
             try (SidecarFixture.Client client = new SidecarFixture.Client(address)) {
@@ -115,7 +104,7 @@
         try (StubServer upstream = new StubServer((socket, head) -> {
             return StubServer.await(go) && StubServer.reply(socket, "200 OK", "", "held");
         })) {
-            InetSocketAddress address = freeAddress();
+            InetSocketAddress address = DeployedProcess.freeAddress();
             start("run", SidecarFixture.config(upstream).put("listen", "127.0.0.1:" + address.getPort()));
             awaitUp(address);
             try (SidecarFixture.Client client = new SidecarFixture.Client(address);
@@ -144,7 +133,7 @@
     @Test
     void aLongDeadlineIsShortenedAtSigterm() throws Exception {
         try (StubServer hung = new StubServer((socket, head) -> true)) {
-            InetSocketAddress address = freeAddress();
+            InetSocketAddress address = DeployedProcess.freeAddress();
             start("run", SidecarFixture.config(hung).put("listen", "127.0.0.1:" + address.getPort()));
             awaitUp(address);
             try (SidecarFixture.Client client = new SidecarFixture.Client(address)) {
@@ -162,8 +151,8 @@
     /** With the settings for it {@code run} also serves gRPC; without them it does not. */
     @Test
     void aSecondaryFrontendServesGrpc() throws Exception {
-        InetSocketAddress address = freeAddress();
-        InetSocketAddress grpc = freeAddress();
+        InetSocketAddress address = DeployedProcess.freeAddress();
+        InetSocketAddress grpc = DeployedProcess.freeAddress();
         Path file = Files.writeString(
                 directory.resolve("settings.toml"),
                 "[grpc]\nsecurity = \"plain\"\nlisten = " + "\"127.0.0.1:" + grpc.getPort() + "\"\n");
@@ -181,7 +170,7 @@
                 StubServer first = new StubServer((socket, head) -> true);
                 StubServer second = new StubServer((socket, head) -> true);
                 StubServer third = new StubServer((socket, head) -> true)) {
-            InetSocketAddress address = freeAddress();
+            InetSocketAddress address = DeployedProcess.freeAddress();
             ObjectNode json = SidecarFixture.config(upstream)
                     .put("listen", "127.0.0.1:" + address.getPort())
                     .put("discovery", first.endpoint());
@@ -215,7 +204,7 @@
     @Test
     void anIgnoredSighupIsReportedAtStartup() throws Exception {
         try (StubServer upstream = StubServer.serving("x")) {
-            InetSocketAddress address = freeAddress();
+            InetSocketAddress address = DeployedProcess.freeAddress();
             shellPrefix = "trap '' HUP; ";
             start("run", SidecarFixture.config(upstream).put("listen", "127.0.0.1:" + address.getPort()));
             awaitUp(address);
@@ -305,8 +294,8 @@
         MultiThreadIoEventLoopGroup group = new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory());
         try (StubServer one = StubServer.serving("x");
                 StubServer two = StubServer.serving("x")) {
-            InetSocketAddress address = freeAddress();
-            InetSocketAddress discovery = freeAddress();
+            InetSocketAddress address = DeployedProcess.freeAddress();
+            InetSocketAddress discovery = DeployedProcess.freeAddress();
             ObjectNode json = SidecarFixture.config(one)
                     .put("listen", "127.0.0.1:" + address.getPort())
                     .put("discovery", "127.0.0.1:" + discovery.getPort());
--- a/src/test/java/pondridge/sidecar/EventLoopStallTest.java
+++ b/src/test/java/pondridge/sidecar/EventLoopStallTest.java
@@ -84,27 +84,37 @@
         }
     }
 
-    /** The response is read before the client's disconnect, and the second server has an idle connection. */
-    private void retryAfterDisconnect(boolean reset) throws Exception {
-        BlockingQueue<Socket> received = new LinkedBlockingQueue<>();
-        StubServer.Script script = (socket, head) -> {
+    /** A server that answers warm-up requests and holds all others, whose sockets it adds to {@code received}. */
+    private static StubServer.Script holdingAllButWarmUpRequests(BlockingQueue<Socket> received) {
+        return (socket, head) -> {
             if (StubServer.header(head, "Req-Id").startsWith("warm")) {
                 return StubServer.reply(socket, "200 OK", "", "x");
             }
             received.add(socket);
             return true;
         };
+    }
+
+    /** Sends requests until each server has answered one, so that there is an idle connection to each. */
+    private void serveWarmUpRequests(SidecarFixture sidecar, StubServer one, StubServer two) throws Exception {
+        for (int i = 0; one.requestHeads.isEmpty() || two.requestHeads.isEmpty(); i++) {
+            assertTrue(i < 1000, "one server never gets a request");
+            assertEquals(
+                    200,
+                    sidecar.exchange(SidecarFixture.safeRequest("warm" + i)).status());
+            assertEquals(Outcome.OK, StubServer.awaitNext(outcomes));
+        }
+    }
+
+    /** The response is read before the client's disconnect, and the second server has an idle connection. */
+    private void retryAfterDisconnect(boolean reset) throws Exception {
+        BlockingQueue<Socket> received = new LinkedBlockingQueue<>();
+        StubServer.Script script = holdingAllButWarmUpRequests(received);
         try (StubServer one = new StubServer(script);
                 StubServer two = new StubServer(script);
                 SidecarFixture sidecar = startSidecar(SidecarFixture.config(one, two));
                 SidecarFixture.Client client = new SidecarFixture.Client(sidecar.address)) {
-            for (int i = 0; one.requestHeads.isEmpty() || two.requestHeads.isEmpty(); i++) {
-                assertTrue(i < 1000, "one server never gets a request");
-                assertEquals(
-                        200,
-                        sidecar.exchange(SidecarFixture.safeRequest("warm" + i)).status());
-                assertEquals(Outcome.OK, StubServer.awaitNext(outcomes));
-            }
+            serveWarmUpRequests(sidecar, one, two);
             StubServer.write(client.socket, SidecarFixture.safeRequest("a"));
             Socket first = StubServer.awaitNext(received);
             whileStalled(sidecar, () -> {
@@ -138,13 +148,7 @@
     void noRetryIsSentToAServerThatBeganToDrainDuringAStall() throws Exception {
         BlockingQueue<Socket> received = new LinkedBlockingQueue<>();
         BlockingQueue<Socket> watches = new LinkedBlockingQueue<>();
-        StubServer.Script script = (socket, head) -> {
-            if (StubServer.header(head, "Req-Id").startsWith("warm")) {
-                return StubServer.reply(socket, "200 OK", "", "x");
-            }
-            received.add(socket);
-            return true;
-        };
+        StubServer.Script script = holdingAllButWarmUpRequests(received);
         try (StubServer one = new StubServer(script);
                 StubServer two = new StubServer(script);
                 StubServer discovery = new StubServer((socket, head) -> {
@@ -156,13 +160,7 @@
                 SidecarFixture.Client client = new SidecarFixture.Client(sidecar.address)) {
             sidecar.loop.execute(sidecar.discovery::startIfPushed);
             Socket watch = StubServer.awaitNext(watches);
-            for (int i = 0; one.requestHeads.isEmpty() || two.requestHeads.isEmpty(); i++) {
-                assertTrue(i < 1000, "one server never gets a request");
-                assertEquals(
-                        200,
-                        sidecar.exchange(SidecarFixture.safeRequest("warm" + i)).status());
-                assertEquals(Outcome.OK, StubServer.awaitNext(outcomes));
-            }
+            serveWarmUpRequests(sidecar, one, two);
             StubServer.write(client.socket, SidecarFixture.safeRequest("a"));
             Socket first = StubServer.awaitNext(received);
             boolean firstIsOne = first.getLocalPort() == one.address().getPort();
--- a/src/test/java/pondridge/sidecar/StartupIT.java
+++ b/src/test/java/pondridge/sidecar/StartupIT.java
@@ -59,13 +59,8 @@
 
     /** Starts one process whose output is written to the file {@code N.log}. */
     private Process start(int number, ObjectNode config) throws IOException {
-        String line = Files.readAllLines(Path.of("deploy/balancer.toml")).stream()
-                .filter(each -> each.startsWith("run = \""))
-                .findFirst()
-                .orElseThrow();
         Path file = Files.writeString(directory.resolve(number + ".json"), config.toString());
-        ProcessBuilder builder = new ProcessBuilder(
-                        "/bin/sh", "-c", line.substring(line.indexOf('"') + 1, line.lastIndexOf('"')))
+        ProcessBuilder builder = new ProcessBuilder("/bin/sh", "-c", DeployedProcess.command("run"))
                 .redirectErrorStream(true)
                 .redirectOutput(log(number).toFile());
         builder.environment().put("PROXY_CONFIG", file.toString());
