--- a/src/main/java/pondridge/sidecar/RetryingBinder.java
+++ b/src/main/java/pondridge/sidecar/RetryingBinder.java
@@ -11,7 +11,8 @@
 
 /**
  * Binds a listener and retries for a limited time: after a restart the previous process may still hold the port, and
- * an address may come up late, and the call may fail for a moment. Runs on the event loop, which is not blocked between attempts.
+ * an address may come up late, and the call may fail for a moment. Runs on the event loop, which is not blocked between
+ * attempts.
  */
 final class RetryingBinder {
     /** The previous process is ended by SIGKILL at most 3.7 s after its SIGTERM. */
