--- a/src/main/java/pondridge/core/ServerStartEstimate.java
+++ b/src/main/java/pondridge/core/ServerStartEstimate.java
@@ -6,8 +6,8 @@
 /**
  * Estimates when servers started by this process's monotonic clock. The endpoint list gives start times by a wall
  * clock, which may be off by an hour or be stepped; a cold server taken for a warm one would be overloaded. A start
- * time from the list is used only if it does not contradict when the start was first listed; otherwise the server counts as
- * started when it was. Times are in milliseconds.
+ * time from the list is used only if it does not contradict when the start was first listed; otherwise the server
+ * counts as started when it was. Times are in milliseconds.
  */
 final class ServerStartEstimate {
     /** How long after its start a server may be listed at the latest while discovery can be reached. */
