--- a/src/test/java/pondridge/http1/UpstreamsTest.java
+++ b/src/test/java/pondridge/http1/UpstreamsTest.java
@@ -261,12 +261,8 @@
     @Test
     void expiredIdleConnectionIsNotReused() throws Exception {
         Set<Socket> sockets = ConcurrentHashMap.newKeySet();
-        try (StubServer upstream =
-                new StubServer((socket, head) -> sockets.add(socket) | StubServer.reply(socket, "200 OK", "", "x"))) {
-            BalancerOptions options = new BalancerOptions("caps.connIdle=1000000000");
-            Upstreams upstreams =
-                    loop.submit(() -> new Upstreams(loop, options, 10)).get();
-            loop.execute(() -> upstreams.updateEndpoint(1, upstream.address(), 0, true));
+        try (StubServer upstream = servingAndRecording(sockets)) {
+            Upstreams upstreams = withIdleTimeoutOfOneSecond(upstream.address());
             send(upstreams);
             assertEquals(Outcome.OK, StubServer.awaitNext(outcomes));
             loop.execute(() -> {
@@ -279,16 +275,24 @@
         }
     }
 
+    private static StubServer servingAndRecording(Set<Socket> sockets) {
+        return new StubServer((socket, head) -> sockets.add(socket) | StubServer.reply(socket, "200 OK", "", "x"));
+    }
+
+    private Upstreams withIdleTimeoutOfOneSecond(InetSocketAddress address) throws Exception {
+        BalancerOptions options = new BalancerOptions("caps.connIdle=1000000000");
+        Upstreams upstreams =
+                loop.submit(() -> new Upstreams(loop, options, 10)).get();
+        loop.execute(() -> upstreams.updateEndpoint(1, address, 0, true));
+        return upstreams;
+    }
+
     /** The response arrives during a standstill of the loop: the upstream's idle timeout runs from then. */
     @Test
     void idleTimeOfAConnectionCountsFromTheResponsesArrival() throws Exception {
         Set<Socket> sockets = ConcurrentHashMap.newKeySet();
-        try (StubServer upstream =
-                new StubServer((socket, head) -> sockets.add(socket) | StubServer.reply(socket, "200 OK", "", "x"))) {
-            BalancerOptions options = new BalancerOptions("caps.connIdle=1000000000");
-            Upstreams upstreams =
-                    loop.submit(() -> new Upstreams(loop, options, 10)).get();
-            loop.execute(() -> upstreams.updateEndpoint(1, upstream.address(), 0, true));
+        try (StubServer upstream = servingAndRecording(sockets)) {
+            Upstreams upstreams = withIdleTimeoutOfOneSecond(upstream.address());
             send(upstreams);
             assertEquals(Outcome.OK, StubServer.awaitNext(outcomes));
             loop.execute(() -> {
