--- a/review/3/SilentWatch.java
+++ b/review/3/ManyCallers.java
@@ -11,14 +11,17 @@
 import review.rig.Rig;
 
 /**
- * Three sidecars and six upstreams; discovery is asked. With the trouble, all open watches fall silent, two upstreams
- * begin to drain right after, and discovery is crowded: a sidecar's next call waits for two seconds and ends with 503,
- * the one after it is answered a little before that time is over. From 6 s and the grace after the silence began
- * nothing new may go to the two upstreams.
+ * Ten sidecars of a fleet of twenty-four and six upstreams; discovery is asked. With the trouble, seven of the ten are
+ * killed and started again at once, two upstreams begin to drain in the same moment, and discovery has too many
+ * callers: of each restarted sidecar's calls the first waits for two seconds and ends with 503, the second is turned
+ * away at once, and every later one is answered after a second and a half. From 6 s and the grace after the
+ * change nothing new may go to the two upstreams.
  */
-public final class SilentWatch {
+public final class ManyCallers {
     private static final String HOST = "127.0.0.1";
-    private static final int SIDECARS = 3;
+    private static final int SIDECARS = 10;
+    private static final int FLEET = 24;
+    private static final int KILLED = 7;
     private static final int UPSTREAMS = 6;
     private static final int DRAINING = 2;
     private static final int CLIENTS_PER_SIDECAR = 4;
@@ -26,12 +29,13 @@
     private static final double PAUSE_MS = 40;
 
     private static final int GRACE_MS = 500;
-    private static final double TOLD_AFTER_SILENCE_MS = 6000;
+    private static final double TOLD_AFTER_CHANGE_MS = 6000;
     /** Each time limit is 50 ms longer on sockets; two limits add up here. */
     private static final double SLACK_MS = 100;
 
     private static final double CALL_TIMEOUT_MS = 2000;
-    private static final double ANSWERED_AFTER_MS = 1800;
+    private static final double TURNED_AWAY_AFTER_MS = 20;
+    private static final double ANSWERED_AFTER_MS = 1500;
 
     private final Rig rig;
     private final AtomicInteger served = new AtomicInteger();
@@ -40,15 +44,16 @@
     private final Set<String> sidecarsTooLate = ConcurrentHashMap.newKeySet();
     private final Map<String, String> sidecarOfRequest = new ConcurrentHashMap<>();
     private final Set<String> draining = ConcurrentHashMap.newKeySet();
+    private final Set<String> ready = ConcurrentHashMap.newKeySet();
     private volatile double lastSendAllowedAt = Double.MAX_VALUE;
     private volatile double lastSendAt;
 
-    private SilentWatch(Rig rig) {
+    private ManyCallers(Rig rig) {
         this.rig = rig;
     }
 
     public static void main(String[] arguments) {
-        Rig.main(arguments, rig -> new SilentWatch(rig).run());
+        Rig.main(arguments, rig -> new ManyCallers(rig).run());
     }
 
     private int run() throws Exception {
@@ -66,28 +71,19 @@
             InetSocketAddress listen = new InetSocketAddress(HOST, Rig.freePort(HOST));
             String name = "n" + i;
             String config = Rig.config(
-                    name, listen, discovery.address, discovery.fullList(), "subscribe", SIDECARS, GRACE_MS, profiles);
+                    name, listen, discovery.address, discovery.fullList(), "subscribe", FLEET, GRACE_MS, profiles);
             sidecars.add(rig.sidecar(name, config, HOST, listen.getPort()));
         }
         sidecars.forEach(Rig.Sidecar::awaitUp);
-        double end = rig.millis() + 16_000;
+        sidecars.forEach(sidecar -> ready.add(sidecar.name));
+        double end = rig.millis() + 20_000;
         List<Thread> clients = new ArrayList<>();
         for (Rig.Sidecar sidecar : sidecars) {
             for (int i = 0; i < CLIENTS_PER_SIDECAR; i++) {
                 clients.add(Rig.thread(() -> client(sidecar, end)));
             }
         }
-        Rig.sleep(4000);
-        int callsBefore = discovery.calls();
-        // The n-th call after the silence: of each sidecar one is refused first, then the calls are answered.
-        discovery.pace = (path, number) ->
-                !rig.trouble ? 0 : number <= callsBefore + SIDECARS ? -CALL_TIMEOUT_MS : ANSWERED_AFTER_MS;
-        discovery.heartbeat();
-        double silentAt = rig.millis();
-        if (rig.trouble) {
-            discovery.silence();
-        }
-        Rig.sleep(100);
+        Rig.sleep(6000);
         for (int i = 0; i < DRAINING; i++) {
             draining.add(upstreams.get(i).uid);
         }
@@ -95,18 +91,37 @@
         for (int i = 0; i < DRAINING; i++) {
             changed.add(Rig.entry(upstreams.get(i), i % 3, "DRAINING", 0));
         }
-        lastSendAllowedAt = silentAt + TOLD_AFTER_SILENCE_MS + GRACE_MS + SLACK_MS;
+        if (rig.trouble) {
+            for (Rig.Sidecar sidecar : sidecars.subList(0, KILLED)) {
+                ready.remove(sidecar.name);
+                sidecar.signal("KILL");
+                sidecar.exitStatus(5000);
+            }
+            int callsBefore = discovery.calls();
+            discovery.pace = (path, number) -> delayOfCall(number - callsBefore);
+        }
+        double changedAt = rig.millis();
+        lastSendAllowedAt = changedAt + TOLD_AFTER_CHANGE_MS + GRACE_MS + SLACK_MS;
         discovery.change(changed);
+        if (rig.trouble) {
+            for (Rig.Sidecar sidecar : sidecars.subList(0, KILLED)) {
+                sidecar.launch();
+            }
+            for (Rig.Sidecar sidecar : sidecars.subList(0, KILLED)) {
+                sidecar.awaitUp();
+                ready.add(sidecar.name);
+            }
+        }
         for (Thread client : clients) {
             client.join();
         }
         rig.say(String.format(
-                "served %d, not served %d; last request to a draining upstream %.0f ms after the silence began, allowed"
-                        + " up to %.0f; requests after that %d, from %d sidecars of %d",
+                "served %d, not served %d; last request to a draining upstream %.0f ms after the change, allowed up"
+                        + " to %.0f; requests after that %d, from %d sidecars of %d",
                 served.get(),
                 notServed.get(),
-                lastSendAt - silentAt,
-                lastSendAllowedAt - silentAt,
+                lastSendAt - changedAt,
+                lastSendAllowedAt - changedAt,
                 tooLate.get(),
                 sidecarsTooLate.size(),
                 SIDECARS));
@@ -116,6 +131,14 @@
         return tooLate.get() > 0 ? Rig.BROKEN : Rig.HELD;
     }
 
+    /** The first call of each restarted sidecar waits in vain, the second is turned away at once. */
+    private static double delayOfCall(int number) {
+        if (number <= KILLED) {
+            return -CALL_TIMEOUT_MS;
+        }
+        return number <= 2 * KILLED ? -TURNED_AWAY_AFTER_MS : ANSWERED_AFTER_MS;
+    }
+
     private void serve(Rig.UpstreamConnection connection, Rig.Message request) throws IOException {
         double now = rig.millis();
         String id = request.header("Req-Id");
@@ -136,6 +159,12 @@
     private void client(Rig.Sidecar sidecar, double end) {
         Rig.Client connection = null;
         while (rig.millis() < end) {
+            if (!ready.contains(sidecar.name)) {
+                // The application stops and starts together with its sidecar.
+                connection = null;
+                Rig.sleep(PAUSE_MS);
+                continue;
+            }
             String id = Rig.newId();
             sidecarOfRequest.put(id, sidecar.name);
             try {
--- a/review/3/run.sh
+++ b/review/3/run.sh
@@ -11,4 +11,4 @@
     echo "run.sh: first the build of the deploy file, then review/build.sh" >&2
     exit 2
 fi
-exec java -cp "$here/../build" review.three.SilentWatch "$root" "$here/record.txt"
+exec java -cp "$here/../build" review.three.ManyCallers "$root" "$here/record.txt"
