--- a/review/rig/Rig.java
+++ b/review/rig/Rig.java
@@ -62,13 +62,13 @@
 
     private Rig(Path root, Path recordFile) throws IOException {
         this.root = root;
-        this.temporary = Files.createTempDirectory("review");
-        this.record = new PrintWriter(Files.newBufferedWriter(recordFile));
         String setting = System.getenv().getOrDefault("TROUBLE", "1");
         if (!setting.equals("0") && !setting.equals("1")) {
             throw new NotRunException("TROUBLE: expected 0 or 1, not " + setting);
         }
         this.trouble = setting.equals("1");
+        this.temporary = Files.createTempDirectory("review");
+        this.record = new PrintWriter(Files.newBufferedWriter(recordFile));
     }
 
     /** Runs a case with the repository's root and the record file as arguments, and exits with its status. */
@@ -95,6 +95,9 @@
                 System.err.println("could not run: " + e);
                 status = NOT_RUN;
             }
+        } catch (NotRunException e) {
+            System.err.println("could not run: " + e.getMessage());
+            status = NOT_RUN;
         } catch (Exception e) {
             System.err.println("could not run: " + e);
             status = NOT_RUN;
