--- a/src/main/java/pondridge/cli/GatewayCommand.java
+++ b/src/main/java/pondridge/cli/GatewayCommand.java
@@ -13,6 +13,7 @@
 import picocli.CommandLine.Command;
 import picocli.CommandLine.Option;
 import pondridge.Balancer.RequestClass;
+import pondridge.core.BufferBudgets;
 import pondridge.core.EventCounters;
 import pondridge.core.MonitoredIoHandler;
 import pondridge.core.Transport;
@@ -80,13 +81,19 @@
     private static void start(EventLoop loop, Configuration configuration, CompletableFuture<Gateway> started) {
         try {
             PlatformConfig platform = configuration.platform();
+            BufferBudgets budgets = BufferBudgets.ofThisProcess();
             Transport upstreams = MixedProtocolTransport.of(
-                    loop, platform.options(), configuration.settings().upstreams(), platform.maxUpstreamConnections());
+                    loop,
+                    platform.options(),
+                    configuration.settings().upstreams(),
+                    platform.maxUpstreamConnections(),
+                    budgets.responses());
             Gateway gateway = new Gateway(
                     loop,
                     platform.options(),
                     configuration.settings(),
                     upstreams,
+                    budgets,
                     platform.seed(),
                     platform.maxClientConnections(),
                     System::nanoTime);
--- a/src/main/java/pondridge/core/EventCounters.java
+++ b/src/main/java/pondridge/core/EventCounters.java
@@ -19,7 +19,11 @@
         /** An attempt was not begun because its client had disconnected. */
         CLIENT_GONE,
         /** The listener could not accept a connection. */
-        ACCEPT_FAILED
+        ACCEPT_FAILED,
+        /** A message was not accepted, because the memory for messages in transit is used up. */
+        BUFFERS_FULL,
+        /** A connection was closed by an error that is neither the peer's nor the network's. */
+        CONNECTION_FAILED
     }
 
     private static final class Counter {
--- a/src/main/java/pondridge/core/Headers.java
+++ b/src/main/java/pondridge/core/Headers.java
@@ -5,6 +5,7 @@
 import io.netty.handler.codec.http.HttpMessage;
 import io.netty.handler.codec.http.HttpVersion;
 import io.netty.util.AsciiString;
+import java.util.Iterator;
 import java.util.List;
 import java.util.Map;
 
@@ -25,8 +26,24 @@
             "Srv-Load",
             "Srv-Declined");
 
+    /** Memory of a message's head without its headers, and of one header without its characters. */
+    private static final int HEAD_BYTES = 512;
+
+    private static final int HEADER_BYTES = 160;
+
     private Headers() {}
 
+    /** An estimate of the memory that a message's head holds, in bytes. */
+    public static int memoryBytes(
+            Iterator<? extends Map.Entry<? extends CharSequence, ? extends CharSequence>> headers) {
+        int bytes = HEAD_BYTES;
+        while (headers.hasNext()) {
+            Map.Entry<? extends CharSequence, ? extends CharSequence> header = headers.next();
+            bytes += HEADER_BYTES + header.getKey().length() + header.getValue().length();
+        }
+        return bytes;
+    }
+
     /** Whether a message's only transfer coding is chunked. Any other leaves its length ambiguous. */
     public static boolean isChunkedOnly(HttpMessage message) {
         List<String> codings = message.headers().getAll(HttpHeaderNames.TRANSFER_ENCODING);
--- a/src/main/java/pondridge/demo/InProcessGateway.java
+++ b/src/main/java/pondridge/demo/InProcessGateway.java
@@ -14,6 +14,7 @@
 import java.util.function.LongSupplier;
 import pondridge.Balancer.EndpointListKind;
 import pondridge.BalancerOptions;
+import pondridge.core.BufferBudgets;
 import pondridge.core.EndpointDiscovery;
 import pondridge.core.EventCounters;
 import pondridge.core.MonitoredIoHandler;
@@ -43,6 +44,7 @@
                             options,
                             settings,
                             new Upstreams(loop, options, MAX_CONNECTIONS),
+                            BufferBudgets.ofThisProcess(),
                             seed,
                             MAX_CONNECTIONS,
                             clock))
--- a/src/main/java/pondridge/gateway/Gateway.java
+++ b/src/main/java/pondridge/gateway/Gateway.java
@@ -23,8 +23,10 @@
 import pondridge.Balancer.SafetyLimits;
 import pondridge.Balancer.UpstreamState;
 import pondridge.BalancerOptions;
+import pondridge.core.BufferBudgets;
 import pondridge.core.EndpointDiscovery;
 import pondridge.core.Engine;
+import pondridge.core.HeapReceiveBuffers;
 import pondridge.core.JobReader;
 import pondridge.core.Target;
 import pondridge.core.Transport;
@@ -69,6 +71,7 @@
      *
      * @param options of the platform: classes, tenants, limits
      * @param upstreams transport to the local site's servers
+     * @param budgets the memory for requests and responses in transit
      * @param maxOpenRequests limit of open requests, and of client connections
      * @param clock monotonic nanoseconds from any origin: its times leave this gateway only in timestamps
      *     that only this gateway reads
@@ -79,6 +82,7 @@
             BalancerOptions options,
             GatewaySettings settings,
             Transport upstreams,
+            BufferBudgets budgets,
             long seed,
             int maxOpenRequests,
             LongSupplier clock)
@@ -131,7 +135,8 @@
                                 addresses,
                                 link,
                                 remoteOptions,
-                                new Http2Upstreams(loop, remoteOptions, link.http2(), connector(name)),
+                                new Http2Upstreams(
+                                        loop, remoteOptions, link.http2(), budgets.responses(), connector(name)),
                                 random.nextLong(),
                                 maxOpenRequests,
                                 log,
@@ -147,14 +152,29 @@
                 link.maxDeliveryNanos(),
                 log,
                 clock);
-        this.frontend = new Frontend(dispatcher, options, maxOpenRequests);
+        this.frontend = new Frontend(dispatcher, options, maxOpenRequests, budgets);
         GrpcSettings grpcSettings = settings.upstreams().grpc();
         this.grpc = grpcSettings == null || grpcSettings.listenAddress() == null
                 ? null
                 : new GrpcFrontend(
-                        loop, grpcSettings, options, dispatcher, Long.toHexString(random.nextLong()), log::warn);
+                        loop,
+                        grpcSettings,
+                        options,
+                        dispatcher,
+                        budgets.total(),
+                        Long.toHexString(random.nextLong()),
+                        log::warn);
         this.linkRequestHandler = new LinkRequestHandler(
-                loop, link, tls, settings.remoteSites().keySet(), dispatcher, reader, random.nextLong(), log, clock);
+                loop,
+                link,
+                budgets.total(),
+                tls,
+                settings.remoteSites().keySet(),
+                dispatcher,
+                reader,
+                random.nextLong(),
+                log,
+                clock);
         dispatcher.onLocalOverload(linkRequestHandler::onLocalOverload);
     }
 
@@ -168,6 +188,7 @@
                 .channel(NioSocketChannel.class)
                 .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, timeoutMs)
                 .option(ChannelOption.TCP_NODELAY, true)
+                .option(ChannelOption.RECVBUF_ALLOCATOR, new HeapReceiveBuffers())
                 .handler(tls == null ? initializer : withTls(site, initializer))
                 .connect(address);
     }
--- a/src/main/java/pondridge/gateway/LinkListener.java
+++ b/src/main/java/pondridge/gateway/LinkListener.java
@@ -18,7 +18,7 @@
 import java.util.concurrent.TimeUnit;
 import java.util.function.Function;
 import java.util.function.LongSupplier;
-import pondridge.http2.BufferBudget;
+import pondridge.core.BufferBudget;
 import pondridge.http2.Http2Server;
 
 /**
@@ -41,6 +41,7 @@
     LinkListener(
             EventLoop loop,
             GatewaySettings.Link link,
+            BufferBudget processBudget,
             LinkTls tls,
             Log log,
             LongSupplier clock,
@@ -59,6 +60,7 @@
                         link.maxBufferedBytes(),
                         0,
                         0),
+                processBudget,
                 "link",
                 tls == null ? null : tls::serverHandler,
                 log::warn,
--- a/src/main/java/pondridge/gateway/LinkRequestHandler.java
+++ b/src/main/java/pondridge/gateway/LinkRequestHandler.java
@@ -31,12 +31,12 @@
 import java.util.function.LongSupplier;
 import pondridge.Balancer.RetrySemantics;
 import pondridge.core.AttemptSummary;
+import pondridge.core.BufferBudget;
 import pondridge.core.Client;
 import pondridge.core.Job;
 import pondridge.core.JobReader;
 import pondridge.core.SocketMonitor;
 import pondridge.core.UpstreamResponse;
-import pondridge.http2.BufferBudget;
 
 /**
  * Handles the requests of other sites' gateways. A request is accepted if the peer's site is authenticated,
@@ -69,6 +69,7 @@
     LinkRequestHandler(
             EventLoop loop,
             GatewaySettings.Link link,
+            BufferBudget processBudget,
             LinkTls tls,
             Set<String> sites,
             Dispatcher dispatcher,
@@ -78,7 +79,7 @@
             LongSupplier clock) {
         this.link = link;
         this.clock = clock;
-        this.listener = new LinkListener(loop, link, tls, log, clock, Exchange::new);
+        this.listener = new LinkListener(loop, link, processBudget, tls, log, clock, Exchange::new);
         this.sites = sites;
         this.dispatcher = dispatcher;
         this.reader = reader;
--- a/src/main/java/pondridge/grpc/GrpcFrontend.java
+++ b/src/main/java/pondridge/grpc/GrpcFrontend.java
@@ -1,6 +1,5 @@
 package pondridge.grpc;
 
-import io.netty.buffer.ByteBufUtil;
 import io.netty.buffer.Unpooled;
 import io.netty.channel.Channel;
 import io.netty.channel.ChannelFuture;
@@ -26,12 +25,14 @@
 import io.netty.util.AsciiString;
 import io.netty.util.ReferenceCountUtil;
 import io.netty.util.concurrent.Future;
-import java.io.ByteArrayOutputStream;
 import java.util.HashSet;
 import java.util.Map;
 import java.util.Set;
 import java.util.concurrent.TimeUnit;
 import pondridge.BalancerOptions;
+import pondridge.core.BodyBuffer;
+import pondridge.core.BufferBudget;
+import pondridge.core.BufferBudgets;
 import pondridge.core.Client;
 import pondridge.core.Headers;
 import pondridge.core.Job;
@@ -39,7 +40,6 @@
 import pondridge.core.RequestProcessor;
 import pondridge.core.SocketMonitor;
 import pondridge.core.UpstreamResponse;
-import pondridge.http2.BufferBudget;
 import pondridge.http2.Http2Server;
 
 /**
@@ -74,9 +74,21 @@
     private long lastGeneratedId;
     private boolean ready;
 
+    /** Creates a front end with the whole process's memory for messages in transit to itself. */
+    public GrpcFrontend(
+            EventLoop loop,
+            GrpcSettings settings,
+            BalancerOptions platform,
+            RequestProcessor requests,
+            String runId,
+            Http2Server.Events events) {
+        this(loop, settings, platform, requests, BufferBudgets.ofThisProcess().total(), runId, events);
+    }
+
     /**
      * Creates a front end that does not listen yet.
      *
+     * @param processBudget the process's memory for messages in transit; the settings limit the part of it
      * @param runId identifies this run of the program in generated request IDs
      */
     public GrpcFrontend(
@@ -84,6 +96,7 @@
             GrpcSettings settings,
             BalancerOptions platform,
             RequestProcessor requests,
+            BufferBudget processBudget,
             String runId,
             Http2Server.Events events) {
         this.settings = settings;
@@ -103,6 +116,7 @@
                         settings.maxBufferedBytes(),
                         settings.maxAgeNanos(),
                         settings.drainTimeoutNanos()),
+                processBudget,
                 "grpc",
                 settings.tls() == null ? null : channel -> settings.tls().newHandler(channel.alloc()),
                 events,
@@ -145,7 +159,7 @@
     private final class Call extends ChannelInboundHandlerAdapter implements Client {
         private final Channel stream;
         private final BufferBudget.ConnectionShare share;
-        private final ByteArrayOutputStream body = new ByteArrayOutputStream(0);
+        private final BodyBuffer body;
         private Future<?> timeout;
         private Http2Headers requestHeaders;
         private GrpcMethod method;
@@ -159,6 +173,7 @@
         Call(Channel stream, BufferBudget.ConnectionShare share) {
             this.stream = stream;
             this.share = share;
+            this.body = new BodyBuffer(share, settings.classificationRules().maxMessageBytes() + PREFIX_BYTES);
         }
 
         @Override
@@ -179,7 +194,7 @@
                         return;
                     }
                     requestHeaders = headers.headers();
-                    if (acceptHeaders() && headers.isEndStream()) {
+                    if (reserveHeaders() && acceptHeaders() && headers.isEndStream()) {
                         onRequestComplete();
                     }
                 } else if (!ended && frame instanceof Http2DataFrame data) {
@@ -190,6 +205,17 @@
             }
         }
 
+        /** Reserves the memory that the request headers hold; false where the call has been refused for lack of it. */
+        private boolean reserveHeaders() {
+            int bytes = Headers.memoryBytes(requestHeaders.iterator());
+            if (!share.tryReserve(bytes)) {
+                end(LocalStatus.refused(), "no room for the request's headers", 0);
+                return false;
+            }
+            reservedBytes += bytes;
+            return true;
+        }
+
         /** Validates the request headers; false where the call has been ended. */
         private boolean acceptHeaders() {
             if (!ClassifiedResponse.isGrpc(requestHeaders.get(HttpHeaderNames.CONTENT_TYPE))
@@ -207,22 +233,17 @@
         }
 
         private void receive(Http2DataFrame data) {
-            int length = data.content().readableBytes();
-            if (body.size() + length > settings.classificationRules().maxMessageBytes() + PREFIX_BYTES) {
-                end(
+            switch (body.append(data.content())) {
+                case TOO_LARGE -> end(
                         GrpcCode.RESOURCE_EXHAUSTED,
                         "message larger than " + settings.classificationRules().maxMessageBytes() + " bytes",
                         0);
-                return;
-            }
-            if (length > 0 && !share.tryReserve(length)) {
-                end(LocalStatus.refused(), "no room for the message", 0);
-                return;
-            }
-            reservedBytes += length;
-            body.writeBytes(ByteBufUtil.getBytes(data.content()));
-            if (data.isEndStream()) {
-                onRequestComplete();
+                case NO_CAPACITY -> end(LocalStatus.refused(), "no room for the message", 0);
+                default -> {
+                    if (data.isEndStream()) {
+                        onRequestComplete();
+                    }
+                }
             }
         }
 
@@ -231,7 +252,7 @@
             complete = true;
             timeout.cancel(false);
             UnaryMessage.Decoded decoded = UnaryMessage.decode(
-                    body.toByteArray(),
+                    body.trimmedBytes(),
                     requestHeaders.get("grpc-encoding"),
                     settings.classificationRules().maxMessageBytes());
             if (decoded.message() == null) {
@@ -430,6 +451,7 @@
             timeout.cancel(false);
             share.release(reservedBytes);
             reservedBytes = 0;
+            body.release();
         }
 
         @Override
--- a/src/main/java/pondridge/http1/Frontend.java
+++ b/src/main/java/pondridge/http1/Frontend.java
@@ -2,7 +2,6 @@
 
 import io.netty.bootstrap.ServerBootstrap;
 import io.netty.buffer.ByteBuf;
-import io.netty.buffer.ByteBufUtil;
 import io.netty.buffer.Unpooled;
 import io.netty.channel.Channel;
 import io.netty.channel.ChannelFuture;
@@ -17,7 +16,6 @@
 import io.netty.handler.codec.DecoderException;
 import io.netty.handler.codec.http.DefaultFullHttpResponse;
 import io.netty.handler.codec.http.FullHttpResponse;
-import io.netty.handler.codec.http.HttpContent;
 import io.netty.handler.codec.http.HttpHeaderNames;
 import io.netty.handler.codec.http.HttpHeaderValues;
 import io.netty.handler.codec.http.HttpHeaders;
@@ -34,7 +32,6 @@
 import io.netty.handler.codec.http.TooLongHttpHeaderException;
 import io.netty.handler.codec.http.TooLongHttpLineException;
 import io.netty.util.ReferenceCountUtil;
-import java.io.ByteArrayOutputStream;
 import java.io.IOException;
 import java.math.BigDecimal;
 import java.math.RoundingMode;
@@ -47,9 +44,12 @@
 import java.util.function.LongFunction;
 import pondridge.BalancerOptions;
 import pondridge.core.AcceptMonitor;
+import pondridge.core.BufferBudget;
+import pondridge.core.BufferBudgets;
 import pondridge.core.Client;
 import pondridge.core.EventCounters;
 import pondridge.core.Headers;
+import pondridge.core.HeapReceiveBuffers;
 import pondridge.core.Job;
 import pondridge.core.JobReader;
 import pondridge.core.RequestLog;
@@ -57,6 +57,7 @@
 import pondridge.core.SocketMonitor;
 import pondridge.core.UpstreamResponse;
 import pondridge.http1.ConnectionTable.State;
+import pondridge.http1.IncomingRequest.Progress;
 
 /**
  * The listener for the application's HTTP/1.1 connections. Reads requests, hands them on and writes one
@@ -73,33 +74,25 @@
     /** Connections accepted per loop turn. Evicted connections keep their descriptors until the next turn. */
     private static final int MAX_ACCEPTS_PER_TURN = 4;
     /**
-     * Bytes of pipelined requests that each connection may always hold. Reading goes on while a request is
-     * open, since a disconnect would otherwise stay undetected behind the unread bytes.
+     * Memory of a place in the queue behind an open request, which a request keeps that has no memory for more. It is
+     * refused when its turn comes.
      */
-    private static final int GUARANTEED_PIPELINED_BYTES = MAX_BODY_BYTES;
+    private static final int QUEUED_REQUEST_BYTES = 256;
     /**
-     * Limit per connection while the total of all connections is within its limit. The connection of a client
-     * that sends more is closed.
+     * Limit on the memory of one connection's requests. Those beyond it are refused, and if not even their places in
+     * the queue fit, the connection is closed.
      */
-    private static final int MAX_PIPELINED_BYTES = 4 << 20;
-
-    private static final int MAX_TOTAL_PIPELINED_BYTES = 8 << 20;
-    /** Memory counted for a pipelined request's head, in addition to its path, and for each message part. */
-    private static final int PIPELINED_HEAD_BYTES = 2048;
-
-    private static final int PIPELINED_PART_BYTES = 256;
+    private static final int MAX_REQUEST_BYTES_PER_CONNECTION = 3 << 20;
 
     private record CompletedId(String clientRequestId, long completedAt) {}
 
-    private record PipelinedMessage(HttpObject message, long arrivedAt) {}
-
     private final RequestProcessor requestProcessor;
     private final JobReader jobReader;
+    private final BufferBudgets budgets;
     private final int maxConnections;
     private final ConnectionTable<Connection> connections = new ConnectionTable<>();
     private final Set<String> idsInUse = new HashSet<>();
     private final ArrayDeque<CompletedId> completedIds = new ArrayDeque<>();
-    private int totalPipelinedBytes;
     private boolean ready;
     private boolean draining;
     private long lastAcceptAt = System.nanoTime();
@@ -107,10 +100,21 @@
     private RequestLog log = RequestLog.NONE;
     private EventCounters counters = EventCounters.unlogged();
 
-    /** Creates a frontend that holds at most {@code maxConnections} client connections at once. */
+    /** Creates a frontend with the whole process's memory for requests and responses to itself. */
     public Frontend(RequestProcessor requestProcessor, BalancerOptions options, int maxConnections) {
+        this(requestProcessor, options, maxConnections, BufferBudgets.ofThisProcess());
+    }
+
+    /**
+     * Creates a frontend that holds at most {@code maxConnections} client connections at once.
+     *
+     * @param budgets the memory for what clients send and do not read
+     */
+    public Frontend(
+            RequestProcessor requestProcessor, BalancerOptions options, int maxConnections, BufferBudgets budgets) {
         this.requestProcessor = requestProcessor;
         this.jobReader = new JobReader(options);
+        this.budgets = budgets;
         this.maxConnections = maxConnections;
     }
 
@@ -128,6 +132,7 @@
                 .option(ChannelOption.SO_BACKLOG, 1024)
                 .option(ChannelOption.SO_REUSEADDR, true)
                 .childOption(ChannelOption.TCP_NODELAY, true)
+                .childOption(ChannelOption.RECVBUF_ALLOCATOR, new HeapReceiveBuffers())
                 .childHandler(new ChannelInitializer<Channel>() {
                     @Override
                     protected void initChannel(Channel accepted) {
@@ -229,20 +234,26 @@
 
     private final class Connection extends SimpleChannelInboundHandler<HttpObject> implements Client {
         private final Channel channel;
+        private final BufferBudget.ConnectionShare requestShare = budgets.requests()
+                .newShare(
+                        BufferBudgets.guaranteedBytes(budgets.requests(), maxConnections),
+                        MAX_REQUEST_BYTES_PER_CONNECTION);
+        private final BufferBudget.ConnectionShare responseShare =
+                budgets.responses().newShare();
         /**
-         * Messages that arrived while a request was open. Reading goes on, within limits: otherwise the
-         * client's disconnect would stay undetected, and its requests would be forwarded one after the other.
+         * Requests that arrived while one was open. Reading goes on, within limits: otherwise the client's
+         * disconnect would stay undetected, and its requests would be forwarded one after the other.
          */
-        private final ArrayDeque<PipelinedMessage> pipelined = new ArrayDeque<>(1);
+        private final ArrayDeque<IncomingRequest> pipelined = new ArrayDeque<>(1);
 
-        private int pipelinedBytes;
-        /** How long the message being handled has waited since it arrived, if it was in {@code pipelined}; else 0. */
-        private long queuedNanos;
+        /** The request that is being received or is open; null if there is none. */
+        private IncomingRequest current;
+        /** Whether the request that is being received was refused, and the rest of it is discarded. */
+        private boolean discardingRest;
 
         private final ConnectionTable.Entry<Connection> entry;
         private int lingeredBytes;
         private Job job;
-        private ByteArrayOutputStream body;
         private boolean keepAlive;
         private String clientRequestId;
         private long submittedId;
@@ -272,6 +283,12 @@
                 super.channelRead(context, message);
             }
 
+            @Override
+            public void channelReadComplete(ChannelHandlerContext context) throws Exception {
+                super.channelReadComplete(context);
+                HeapReceiveBuffers.trim(internalBuffer());
+            }
+
             /**
              * Rejects such a message. The default drops the length; a peer that goes by the length would see
              * another end of the body, which allows request smuggling.
@@ -343,51 +360,104 @@
 
         @Override
         protected void channelRead0(ChannelHandlerContext context, HttpObject message) {
-            if (hasOpenRequest() || !pipelined.isEmpty()) {
-                if (!channel.isActive()) {
-                    return;
+            if (isIn(State.LINGERING) || !channel.isActive()) {
+                return;
+            }
+            if (discardingRest && !message.decoderResult().isFailure()) {
+                discardingRest = !(message instanceof LastHttpContent);
+                if (!discardingRest && isIn(State.READING)) {
+                    enterState(State.IDLE);
                 }
-                pipelined.add(new PipelinedMessage(
-                        ReferenceCountUtil.retain(message), System.nanoTime() - SocketMonitor.dataAgeNanos(channel)));
-                addPipelinedBytes(pipelinedSize(message));
-                if (pipelinedBytes > GUARANTEED_PIPELINED_BYTES
-                        && (pipelinedBytes > MAX_PIPELINED_BYTES || totalPipelinedBytes > MAX_TOTAL_PIPELINED_BYTES)) {
+            } else if (hasOpenRequest() || !pipelined.isEmpty()) {
+                enqueue(message);
+            } else {
+                receive(message);
+            }
+        }
+
+        /** Adds a message to the queue behind the open request. */
+        private void enqueue(HttpObject message) {
+            long arrivedAt = System.nanoTime() - SocketMonitor.dataAgeNanos(channel);
+            IncomingRequest last;
+            if (message instanceof HttpRequest head) {
+                if (!requestShare.tryReserve(QUEUED_REQUEST_BYTES)) {
+                    countBuffersFull();
                     close("too much behind a request");
+                    return;
                 }
+                last = newRequest(head, arrivedAt);
+                pipelined.add(last);
             } else {
-                handle(message);
+                last = pipelined.peekLast();
+                if (last == null || last.progress() != Progress.INCOMPLETE) {
+                    return;
+                }
+                last.receive(message, arrivedAt);
+            }
+            if (last.progress() == Progress.NO_CAPACITY) {
+                countBuffersFull();
+                discardingRest = !(message instanceof LastHttpContent);
             }
         }
 
-        private void handle(HttpObject message) {
-            if (isIn(State.LINGERING) || !channel.isActive()) {
-                return;
+        private IncomingRequest newRequest(HttpRequest head, long arrivedAt) {
+            return new IncomingRequest(head, requestShare, MAX_BODY_BYTES, arrivedAt);
+        }
+
+        /** Handles a message of the request that is being received, with no other request before it. */
+        private void receive(HttpObject message) {
+            long now = System.nanoTime();
+            if (message instanceof HttpRequest head) {
+                begin(newRequest(head, now));
+            } else if (current != null) {
+                current.receive(message, now);
             }
-            if (message.decoderResult().isFailure()) {
-                reject(statusOf(message.decoderResult().cause()), "malformed request");
-                return;
+            if (current != null && current.progress() == Progress.NO_CAPACITY) {
+                countBuffersFull();
+                discardingRest = !(message instanceof LastHttpContent);
             }
-            if (message instanceof HttpRequest head) {
-                handleHead(head);
+            proceed(0);
+        }
+
+        /** Begins to handle a request, the whole of which may have been received. */
+        private void begin(IncomingRequest next) {
+            current = next;
+            job = null;
+            connections.enter(entry, State.READING, entry.since());
+            keepAlive = HttpUtil.isKeepAlive(next.head());
+            if (next.progress() != Progress.MALFORMED && next.progress() != Progress.NO_CAPACITY) {
+                handleHead(next.head());
             }
-            if (message instanceof HttpContent content && !isIn(State.LINGERING)) {
-                if (body.size() + content.content().readableBytes() > MAX_BODY_BYTES) {
-                    reject(HttpResponseStatus.REQUEST_ENTITY_TOO_LARGE, "body too large");
-                    return;
-                }
-                body.writeBytes(ByteBufUtil.getBytes(content.content()));
-                if (message instanceof LastHttpContent) {
-                    handleEnd();
-                }
+        }
+
+        /**
+         * Goes on with the current request as far as it has been received.
+         *
+         * @param queuedNanos how long it has waited behind another request; 0 if it did not
+         */
+        private void proceed(long queuedNanos) {
+            if (isIn(State.LINGERING) || current == null) {
+                return;
+            }
+            switch (current.progress()) {
+                case MALFORMED -> reject(statusOf(current.malformedBy()), "malformed request");
+                case BODY_TOO_LARGE -> reject(HttpResponseStatus.REQUEST_ENTITY_TOO_LARGE, "body too large");
+                case NO_CAPACITY -> refused(0);
+                case COMPLETE -> handleEnd(queuedNanos);
+                default -> {}
             }
         }
 
+        private void countBuffersFull() {
+            counters.count(
+                    EventCounters.Kind.BUFFERS_FULL,
+                    () -> "requests: " + budgets.requests().reservedBytes() + " of "
+                            + budgets.requests().maxBytes() + " bytes, " + requestShare.reservedBytes()
+                            + " by this connection");
+        }
+
         /** Validates a request's head, so that a bad request is rejected without waiting for its body. */
         private void handleHead(HttpRequest head) {
-            connections.enter(entry, State.READING, entry.since());
-            keepAlive = HttpUtil.isKeepAlive(head);
-            job = null;
-            body = new ByteArrayOutputStream(0);
             String path = JobReader.pathOf(head.uri());
             try {
                 requireUnambiguous(head);
@@ -410,8 +480,8 @@
             }
         }
 
-        /** Handles the end of a request. */
-        private void handleEnd() {
+        /** Handles the end of a request, which has waited for {@code queuedNanos} behind another one. */
+        private void handleEnd(long queuedNanos) {
             if (job == null) {
                 boolean up = ready && !draining;
                 respond(plainText(up ? HttpResponseStatus.OK : HttpResponseStatus.SERVICE_UNAVAILABLE, ""));
@@ -425,9 +495,8 @@
             if (ageNanos > 0) {
                 log.requestAged(clientRequestId, ageNanos);
             }
-            Job complete = job.withBody(body.toByteArray()).aged(ageNanos);
+            Job complete = job.withBody(current.body()).aged(ageNanos);
             job = null;
-            body = null;
             enterState(State.ASKED);
             long number = requestProcessor.submit(complete, this);
             // The response may have been given within that call.
@@ -477,11 +546,15 @@
             closeOpenRequest();
             enterState(State.ANSWERED);
             boolean keepOpen = keepAlive && (!draining || !pipelined.isEmpty());
-            HttpUtil.setContentLength(response, response.content().readableBytes());
+            int bodyBytes = response.content().readableBytes();
+            HttpUtil.setContentLength(response, bodyBytes);
             if (!keepOpen) {
                 response.headers().set(HttpHeaderNames.CONNECTION, HttpHeaderValues.CLOSE);
             }
+            int heldBytes = bodyBytes + Headers.memoryBytes(response.headers().iteratorCharSequence());
+            responseShare.reserve(heldBytes);
             channel.writeAndFlush(response).addListener(done -> {
+                responseShare.release(heldBytes);
                 if (!done.isSuccess()) {
                     close("response not written");
                 } else if (!keepOpen) {
@@ -501,7 +574,7 @@
          */
         private void linger() {
             enterState(State.LINGERING);
-            discardPipelined();
+            releaseRequests();
             ((DuplexChannel) channel).shutdownOutput();
         }
 
@@ -513,27 +586,26 @@
                 return;
             }
             while (!pipelined.isEmpty() && !hasOpenRequest()) {
-                PipelinedMessage next = pipelined.poll();
-                addPipelinedBytes(-pipelinedSize(next.message));
-                queuedNanos = System.nanoTime() - next.arrivedAt;
-                try {
-                    handle(next.message);
-                } finally {
-                    ReferenceCountUtil.release(next.message);
-                    queuedNanos = 0;
-                }
+                IncomingRequest next = pipelined.poll();
+                requestShare.release(QUEUED_REQUEST_BYTES);
+                begin(next);
+                proceed(System.nanoTime() - next.arrivedAt());
             }
         }
 
-        private void discardPipelined() {
-            pipelined.forEach(each -> ReferenceCountUtil.release(each.message));
+        /** Drops the current request and the pipelined ones. */
+        private void releaseRequests() {
+            releaseCurrent();
+            pipelined.forEach(IncomingRequest::release);
+            requestShare.release((long) QUEUED_REQUEST_BYTES * pipelined.size());
             pipelined.clear();
-            addPipelinedBytes(-pipelinedBytes);
         }
 
-        private void addPipelinedBytes(int delta) {
-            pipelinedBytes += delta;
-            totalPipelinedBytes += delta;
+        private void releaseCurrent() {
+            if (current != null) {
+                current.release();
+                current = null;
+            }
         }
 
         /** Ends the open request, if there is one; its id stays reserved for a while. */
@@ -542,14 +614,15 @@
                 completedIds.add(new CompletedId(clientRequestId, System.nanoTime()));
             }
             submittedId = 0;
+            job = null;
+            releaseCurrent();
         }
 
         /** Writes an error response, shuts down the output, and discards what still arrives for a while. */
         private void reject(HttpResponseStatus status, String text) {
             enterState(State.LINGERING);
             job = null;
-            body = null;
-            discardPipelined();
+            releaseRequests();
             FullHttpResponse response = plainText(status, text);
             response.headers().set(HttpHeaderNames.CONNECTION, HttpHeaderValues.CLOSE);
             HttpUtil.setContentLength(response, response.content().readableBytes());
@@ -562,7 +635,7 @@
             long openRequest = submittedId;
             closeOpenRequest();
             enterState(State.LINGERING);
-            discardPipelined();
+            releaseRequests();
             if (openRequest != 0) {
                 requestProcessor.clientDisconnected(openRequest);
             }
@@ -571,21 +644,12 @@
         @Override
         public void exceptionCaught(ChannelHandlerContext context, Throwable cause) {
             if (!(cause instanceof IOException || cause instanceof DecoderException)) {
-                System.err.println("frontend: " + cause);
+                counters.count(EventCounters.Kind.CONNECTION_FAILED, () -> "client: " + cause);
             }
             channel.close();
         }
     }
 
-    private static int pipelinedSize(HttpObject message) {
-        int headBytes = message instanceof HttpRequest request
-                ? PIPELINED_HEAD_BYTES + request.uri().length()
-                : 0;
-        return PIPELINED_PART_BYTES
-                + headBytes
-                + (message instanceof HttpContent content ? content.content().readableBytes() : 0);
-    }
-
     private static HttpResponseStatus statusOf(Throwable cause) {
         if (cause instanceof TooLongHttpHeaderException) {
             return HttpResponseStatus.REQUEST_HEADER_FIELDS_TOO_LARGE;
--- a/src/main/java/pondridge/http1/Upstreams.java
+++ b/src/main/java/pondridge/http1/Upstreams.java
@@ -2,7 +2,6 @@
 
 import io.netty.bootstrap.Bootstrap;
 import io.netty.buffer.ByteBuf;
-import io.netty.buffer.ByteBufUtil;
 import io.netty.buffer.Unpooled;
 import io.netty.channel.Channel;
 import io.netty.channel.ChannelHandlerContext;
@@ -31,7 +30,6 @@
 import io.netty.handler.codec.http.LastHttpContent;
 import io.netty.util.AsciiString;
 import io.netty.util.concurrent.Future;
-import java.io.ByteArrayOutputStream;
 import java.io.IOException;
 import java.net.InetSocketAddress;
 import java.nio.charset.StandardCharsets;
@@ -45,7 +43,12 @@
 import java.util.concurrent.TimeUnit;
 import pondridge.Balancer.Outcome;
 import pondridge.BalancerOptions;
+import pondridge.core.BodyBuffer;
+import pondridge.core.BufferBudget;
+import pondridge.core.BufferBudgets;
+import pondridge.core.EventCounters;
 import pondridge.core.Headers;
+import pondridge.core.HeapReceiveBuffers;
 import pondridge.core.Job;
 import pondridge.core.LoadReports;
 import pondridge.core.MonitoredIoHandler;
@@ -82,18 +85,32 @@
     private final long idleTimeoutNanos;
     private final int maxConnections;
     private final LoadReports loadReports;
+    private final BufferBudget responseBudget;
+    private final long guaranteedResponseBytes;
     private final Map<Long, Pool> pools = new HashMap<>();
     /** The pool of every upstream that is not listed; never ready. */
     private final Pool unlistedPool = new Pool();
 
     private final Future<?> idleSweep;
+    private EventCounters counters = EventCounters.unlogged();
     private int openConnections;
     /** When unsolicited data was last received; 0 for never. */
     private long lastUnsolicitedAt;
 
-    /** Creates a transport with at most {@code maxConnections} connections; timeouts come from the settings. */
+    /** Creates a transport with the whole process's memory for responses to itself. */
     public Upstreams(EventLoop loop, BalancerOptions options, int maxConnections) {
+        this(loop, options, maxConnections, BufferBudgets.ofThisProcess().responses());
+    }
+
+    /**
+     * Creates a transport with at most {@code maxConnections} connections; timeouts come from the settings.
+     *
+     * @param responseBudget the memory for responses that are being received
+     */
+    public Upstreams(EventLoop loop, BalancerOptions options, int maxConnections, BufferBudget responseBudget) {
         this.loop = loop;
+        this.responseBudget = responseBudget;
+        this.guaranteedResponseBytes = BufferBudgets.guaranteedBytes(responseBudget, maxConnections);
         this.connectTimeoutMillis = Math.max(1, (int) (options.number("caps.connectTimeout", 1e9) / 1e6));
         // Upstreams close at their idle timeout. Closing a tenth earlier avoids a request meeting that close.
         this.idleTimeoutNanos = (long) (options.number("caps.connIdle", 5e9) * 0.9);
@@ -104,6 +121,11 @@
                 loop.scheduleWithFixedDelay(this::closeExpiredIdle, sweepInterval, sweepInterval, TimeUnit.NANOSECONDS);
     }
 
+    /** Sets the counters of responses that were not accepted; must be called before the first attempt. */
+    public void setCounters(EventCounters counters) {
+        this.counters = counters;
+    }
+
     /**
      * Applies an upstream's entry in the endpoint list. Once it is no longer ready, nothing that is not yet
      * written goes there: attempts waiting for a connection end as {@link Outcome#CONNECT_FAILED}, and idle
@@ -376,6 +398,12 @@
             return inResponse || actualReadableBytes() > 0;
         }
 
+        @Override
+        public void channelReadComplete(ChannelHandlerContext context) throws Exception {
+            super.channelReadComplete(context);
+            HeapReceiveBuffers.trim(internalBuffer());
+        }
+
         @Override
         protected void decode(ChannelHandlerContext context, ByteBuf in, List<Object> out) throws Exception {
             if (!inResponse) {
@@ -429,7 +457,9 @@
 
         private HttpResponse head;
         private HttpHeaders headers;
-        private ByteArrayOutputStream body;
+        private final BufferBudget.ConnectionShare share = responseBudget.newShare(guaranteedResponseBytes);
+        private final BodyBuffer body = new BodyBuffer(share, MAX_RESPONSE_BYTES);
+        private int headBytes;
         private int interimResponses;
         private boolean complete;
         private boolean unsolicitedData;
@@ -447,6 +477,7 @@
                     .channel(NioSocketChannel.class)
                     .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, connectTimeoutMillis)
                     .option(ChannelOption.TCP_NODELAY, true)
+                    .option(ChannelOption.RECVBUF_ALLOCATOR, new HeapReceiveBuffers())
                     .handler(new ChannelInitializer<Channel>() {
                         @Override
                         protected void initChannel(Channel created) {
@@ -493,6 +524,9 @@
 
         void close() {
             pool.idle.remove(this);
+            if (!complete) {
+                releaseResponse();
+            }
             if (channel != null) {
                 channel.close();
             }
@@ -512,16 +546,36 @@
                 return;
             }
             if (message instanceof HttpContent content && head != null) {
-                ByteBuf bytes = content.content();
-                if (body.size() + bytes.readableBytes() > MAX_RESPONSE_BYTES) {
+                if (!acceptContent(content)) {
                     handleInvalidInput();
                     return;
                 }
-                body.writeBytes(ByteBufUtil.getBytes(bytes));
                 complete = message instanceof LastHttpContent;
             }
         }
 
+        /** Collects a part of the body, or returns false if it is too large or there is no memory for it. */
+        private boolean acceptContent(HttpContent content) {
+            BodyBuffer.Result result = body.append(content.content());
+            if (result == BodyBuffer.Result.NO_CAPACITY) {
+                countBuffersFull();
+            }
+            return result == BodyBuffer.Result.APPENDED;
+        }
+
+        private void countBuffersFull() {
+            counters.count(
+                    EventCounters.Kind.BUFFERS_FULL,
+                    () -> "responses: " + responseBudget.reservedBytes() + " of " + responseBudget.maxBytes()
+                            + " bytes, " + share.reservedBytes() + " by this connection");
+        }
+
+        private void releaseResponse() {
+            body.release();
+            share.release(headBytes);
+            headBytes = 0;
+        }
+
         /**
          * Accepts a response's head, or returns false if it makes the response invalid. A response without a
          * length would end at the connection's end, where a truncated one looks complete.
@@ -545,8 +599,13 @@
             } catch (IllegalArgumentException e) {
                 return false;
             }
+            int bytes = Headers.memoryBytes(receivedHeaders.iteratorCharSequence());
+            if (!share.tryReserve(bytes)) {
+                countBuffersFull();
+                return false;
+            }
+            headBytes += bytes;
             head = response;
-            body = new ByteArrayOutputStream((int) HttpUtil.getContentLength(response, 1024L));
             return true;
         }
 
@@ -558,13 +617,13 @@
             Http1Attempt attempt = current;
             HttpResponse response = head;
             Outcome outcome = attempt.written || response.status().code() != 200 ? outcomeOf(response) : Outcome.ERROR;
-            ByteArrayOutputStream completeBody = body;
+            byte[] completeBody = body.trimmedBytes();
             float[] load = loadReports.read(
                     response.headers().get(LoadReports.HEADER),
                     attempt.request.uri(),
-                    () -> completeBody.toString(StandardCharsets.UTF_8));
+                    () -> new String(completeBody, StandardCharsets.UTF_8));
             UpstreamResponse upstreamResponse =
-                    outcome == Outcome.OK ? new UpstreamResponse(headers, body.toByteArray()) : null;
+                    outcome == Outcome.OK ? new UpstreamResponse(headers, completeBody) : null;
             lastUnsolicitedAt = decoder.hasPartialResponse() ? System.nanoTime() : lastUnsolicitedAt;
             boolean reusable = HttpUtil.isKeepAlive(response)
                     && attempt.written
@@ -575,8 +634,9 @@
             current = null;
             head = null;
             headers = null;
-            body = null;
             complete = false;
+            // From here on the response counts where it is written to the client, before anything else is read.
+            releaseResponse();
             if (reusable) {
                 readAt = System.nanoTime();
                 idleSince = MonitoredIoHandler.arrivedAfter();
@@ -605,6 +665,7 @@
         @Override
         public void channelInactive(ChannelHandlerContext context) {
             handleDisconnect();
+            releaseResponse();
         }
 
         @Override
--- a/src/main/java/pondridge/http2/Connection.java
+++ b/src/main/java/pondridge/http2/Connection.java
@@ -29,6 +29,7 @@
 import java.io.IOException;
 import java.util.List;
 import pondridge.Balancer.Outcome;
+import pondridge.core.BodyBuffer;
 import pondridge.core.LoadReports;
 import pondridge.core.ResponseClassifier;
 import pondridge.pool.PooledConnection;
@@ -335,11 +336,11 @@
         if (attempt != null && attempt.responseBody() == null && status >= 200) {
             HttpHeaders forwarded = HeaderMapper.responseHeaders(headers);
             if (forwarded == null
-                    || headers.getLong(HttpHeaderNames.CONTENT_LENGTH, 0) > options.maxResponseBodyBytes()) {
+                    || headers.getLong(HttpHeaderNames.CONTENT_LENGTH, 0) > options.maxResponseBodyBytes()
+                    || !attempt.responseStarted(headers, forwarded, HeaderMapper.value(headers, LOAD_REPORT_HEADER))) {
                 finish(table.invalidResponse(id));
                 return;
             }
-            attempt.responseStarted(headers, forwarded, HeaderMapper.value(headers, LOAD_REPORT_HEADER));
         }
         if (attempt != null && attempt.responseBody() != null && status == 0) {
             attempt.trailersReceived(headers);
@@ -355,15 +356,10 @@
         }
         Http2Attempt attempt = table.attempt(id);
         if (attempt != null && attempt.responseBody() != null) {
-            if (attempt.responseBytes() + bytes > options.maxResponseBodyBytes() || !pool.reserveResponseBytes(bytes)) {
+            if (attempt.responseBody().append(data) != BodyBuffer.Result.APPENDED) {
                 finish(table.invalidResponse(id));
                 return bytes + padding;
             }
-            try {
-                data.getBytes(data.readerIndex(), attempt.responseBody(), bytes);
-            } catch (IOException e) {
-                throw new IllegalStateException(e);
-            }
         }
         finish(table.onData(id, end));
         return bytes + padding;
--- a/src/main/java/pondridge/http2/Http2Attempt.java
+++ b/src/main/java/pondridge/http2/Http2Attempt.java
@@ -3,9 +3,10 @@
 import io.netty.handler.codec.http.HttpHeaders;
 import io.netty.handler.codec.http2.Http2Headers;
 import io.netty.util.concurrent.Future;
-import java.io.ByteArrayOutputStream;
 import java.nio.charset.StandardCharsets;
 import pondridge.Balancer.Outcome;
+import pondridge.core.BodyBuffer;
+import pondridge.core.Headers;
 import pondridge.core.Job;
 import pondridge.core.LoadReports;
 import pondridge.core.Transport;
@@ -26,7 +27,8 @@
     private Http2Headers responseHeaders;
     private Http2Headers trailers;
     private String loadReport;
-    private ByteArrayOutputStream responseBody;
+    private BodyBuffer responseBody;
+    private int headerBytes;
     private boolean ended;
 
     /** Creates an attempt; {@code deadlineNanos} is on the clock of {@link System#nanoTime}. */
@@ -59,11 +61,18 @@
         streamId = assignedStreamId;
     }
 
-    void responseStarted(Http2Headers allHeaders, HttpHeaders toForward, String report) {
+    /** Begins to receive the response; false if there is no memory for its headers. */
+    boolean responseStarted(Http2Headers allHeaders, HttpHeaders toForward, String report) {
+        int bytes = Headers.memoryBytes(allHeaders.iterator());
+        if (!pool.responseMemory().tryReserve(bytes)) {
+            return false;
+        }
+        headerBytes = bytes;
         responseHeaders = allHeaders;
         forwardedHeaders = toForward;
         loadReport = report;
-        responseBody = new ByteArrayOutputStream(256);
+        responseBody = pool.newResponseBody();
+        return true;
     }
 
     /** Sets the trailers of the response. */
@@ -72,14 +81,10 @@
     }
 
     /** Returns the response body received so far, or null before the response headers have been received. */
-    ByteArrayOutputStream responseBody() {
+    BodyBuffer responseBody() {
         return responseBody;
     }
 
-    int responseBytes() {
-        return responseBody == null ? 0 : responseBody.size();
-    }
-
     /** The deadline has passed. */
     void timeOut() {
         if (connection != null) {
@@ -118,7 +123,7 @@
             return;
         }
         MessageCodec.DecodedResponse result = transportOutcome == Outcome.OK
-                ? codec.decodeResponse(job, responseHeaders, forwardedHeaders, responseBody.toByteArray(), trailers)
+                ? codec.decodeResponse(job, responseHeaders, forwardedHeaders, responseBody.trimmedBytes(), trailers)
                 : new MessageCodec.DecodedResponse(transportOutcome, null);
         ended = true;
         if (timer != null) {
@@ -126,8 +131,13 @@
         }
         float[] load = responseBody == null
                 ? LoadReports.NONE
-                : reports.read(loadReport, job.uri(), () -> responseBody.toString(StandardCharsets.UTF_8));
-        responseBody = null;
+                : reports.read(
+                        loadReport, job.uri(), () -> new String(responseBody.trimmedBytes(), StandardCharsets.UTF_8));
+        if (responseBody != null) {
+            pool.responseMemory().release(headerBytes);
+            responseBody.release();
+            responseBody = null;
+        }
         listener.ended(result.outcome(), result.response(), load);
     }
 }
--- a/src/main/java/pondridge/http2/Http2Server.java
+++ b/src/main/java/pondridge/http2/Http2Server.java
@@ -32,7 +32,9 @@
 import java.util.function.Function;
 import java.util.function.LongSupplier;
 import pondridge.core.AcceptMonitor;
+import pondridge.core.BufferBudget;
 import pondridge.core.EventCounters;
+import pondridge.core.HeapReceiveBuffers;
 import pondridge.core.SocketMonitor;
 
 /**
@@ -96,11 +98,13 @@
      *
      * @param eventPrefix prefix of the names of its events
      * @param tlsHandlerFactory creates the TLS handler below HTTP/2; null for cleartext
+     * @param processBudget the memory for messages in transit, of which the limit is a part
      * @param streamInitializer adds the handlers to the pipeline of a stream opened by the peer
      */
     public Http2Server(
             EventLoop loop,
             Limits limits,
+            BufferBudget processBudget,
             String eventPrefix,
             Function<Channel, ChannelHandler> tlsHandlerFactory,
             Events events,
@@ -113,7 +117,7 @@
         this.events = events;
         this.clock = clock;
         this.streamInitializer = streamInitializer;
-        this.bufferBudget = new BufferBudget(limits.maxBufferedBytes());
+        this.bufferBudget = processBudget.newChild(limits.maxBufferedBytes());
     }
 
     /** Starts to listen. */
@@ -131,6 +135,7 @@
                 .channel(NioServerSocketChannel.class)
                 .option(ChannelOption.SO_REUSEADDR, true)
                 .childOption(ChannelOption.TCP_NODELAY, true)
+                .childOption(ChannelOption.RECVBUF_ALLOCATOR, new HeapReceiveBuffers())
                 .childHandler(new ChannelInitializer<Channel>() {
                     @Override
                     protected void initChannel(Channel channel) {
--- a/src/main/java/pondridge/http2/Http2Upstreams.java
+++ b/src/main/java/pondridge/http2/Http2Upstreams.java
@@ -19,6 +19,9 @@
 import java.util.function.LongConsumer;
 import pondridge.Balancer.Outcome;
 import pondridge.BalancerOptions;
+import pondridge.core.BufferBudget;
+import pondridge.core.BufferBudgets;
+import pondridge.core.HeapReceiveBuffers;
 import pondridge.core.Job;
 import pondridge.core.LoadReports;
 import pondridge.core.Transport;
@@ -51,27 +54,43 @@
     private final Future<?> maintenanceTask;
     private MessageCodec codec = MessageCodec.HTTP;
     private LongConsumer http1RequiredListener = upstream -> {};
-    private long responseBytes;
+    /** The memory of all responses that are being received. */
+    private final BufferBudget.ConnectionShare responseMemory;
 
     /**
      * Creates a transport. Connect and idle timeouts come from the platform's settings, everything else from
      * {@code options}.
      */
+    public Http2Upstreams(EventLoop loop, BalancerOptions settings, Http2Options options, BufferBudget responseBudget) {
+        this(loop, settings, options, responseBudget, StreamOutcomeRules.RFC9113, 1, tcpConnector(loop));
+    }
+
+    /** Creates a transport with the whole process's memory for responses to itself. */
     public Http2Upstreams(EventLoop loop, BalancerOptions settings, Http2Options options) {
-        this(loop, settings, options, StreamOutcomeRules.RFC9113, 1);
+        this(loop, settings, options, BufferBudgets.ofThisProcess().responses());
     }
 
     /**
      * Creates a transport whose sockets are opened by a connector, which may add a layer such as TLS below
      * HTTP/2.
      */
-    public Http2Upstreams(EventLoop loop, BalancerOptions settings, Http2Options options, Connector connector) {
-        this(loop, settings, options, StreamOutcomeRules.RFC9113, 1, connector);
+    public Http2Upstreams(
+            EventLoop loop,
+            BalancerOptions settings,
+            Http2Options options,
+            BufferBudget responseBudget,
+            Connector connector) {
+        this(loop, settings, options, responseBudget, StreamOutcomeRules.RFC9113, 1, connector);
     }
 
     /** Creates a transport for servers that use another message format than plain HTTP. */
-    public Http2Upstreams(EventLoop loop, BalancerOptions settings, Http2Options options, MessageCodec codec) {
-        this(loop, settings, options, StreamOutcomeRules.RFC9113, 1);
+    public Http2Upstreams(
+            EventLoop loop,
+            BalancerOptions settings,
+            Http2Options options,
+            BufferBudget responseBudget,
+            MessageCodec codec) {
+        this(loop, settings, options, responseBudget);
         this.codec = codec;
     }
 
@@ -82,25 +101,50 @@
             Http2Options options,
             StreamOutcomeRules outcomeRules,
             int firstStreamId) {
-        this(loop, settings, options, outcomeRules, firstStreamId, (address, timeoutMs, initializer) -> new Bootstrap()
+        this(loop, settings, options, outcomeRules, firstStreamId, tcpConnector(loop));
+    }
+
+    /** For tests: with other outcome rules, another first stream id and another connector. */
+    Http2Upstreams(
+            EventLoop loop,
+            BalancerOptions settings,
+            Http2Options options,
+            StreamOutcomeRules outcomeRules,
+            int firstStreamId,
+            Connector connector) {
+        this(
+                loop,
+                settings,
+                options,
+                BufferBudgets.ofThisProcess().responses(),
+                outcomeRules,
+                firstStreamId,
+                connector);
+    }
+
+    private static Connector tcpConnector(EventLoop loop) {
+        return (address, timeoutMs, initializer) -> new Bootstrap()
                 .group(loop)
                 .channel(NioSocketChannel.class)
                 .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, timeoutMs)
                 .option(ChannelOption.TCP_NODELAY, true)
+                .option(ChannelOption.RECVBUF_ALLOCATOR, new HeapReceiveBuffers())
                 .handler(initializer)
-                .connect(address));
+                .connect(address);
     }
 
-    /** For tests: with other outcome rules, another first stream id and another connector. */
-    Http2Upstreams(
+    private Http2Upstreams(
             EventLoop loop,
             BalancerOptions settings,
             Http2Options options,
+            BufferBudget responseBudget,
             StreamOutcomeRules outcomeRules,
             int firstStreamId,
             Connector connector) {
         this.loop = loop;
         this.options = options;
+        this.responseMemory =
+                responseBudget.newChild(options.maxBufferedResponseBytes()).newUndividedShare();
         this.outcomeRules = outcomeRules;
         this.firstStreamId = firstStreamId;
         this.connectTimeoutMs = Math.max(1, (int) (settings.number("caps.connectTimeout", 1e9) / 1e6));
@@ -222,19 +266,8 @@
         return new Connection(pool, options, outcomeRules, firstStreamId, System.nanoTime());
     }
 
-    /**
-     * Reserves space for part of a response body; false if all buffered bodies together would be too large.
-     */
-    boolean reserveResponseBytes(int bytes) {
-        if (responseBytes + bytes > options.maxBufferedResponseBytes()) {
-            return false;
-        }
-        responseBytes += bytes;
-        return true;
-    }
-
-    void releaseResponseBytes(int bytes) {
-        responseBytes -= bytes;
+    BufferBudget.ConnectionShare responseMemory() {
+        return responseMemory;
     }
 
     void http1Required(ServerPool pool) {
--- a/src/main/java/pondridge/http2/ServerPool.java
+++ b/src/main/java/pondridge/http2/ServerPool.java
@@ -9,6 +9,8 @@
 import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
 import pondridge.Balancer.Outcome;
+import pondridge.core.BodyBuffer;
+import pondridge.core.BufferBudget;
 import pondridge.pool.ConnectionPool;
 import pondridge.pool.RejectionReason;
 
@@ -232,14 +234,19 @@
         return upstreams.codec();
     }
 
-    boolean reserveResponseBytes(int bytes) {
-        return upstreams.reserveResponseBytes(bytes);
+    /** Returns the memory of all responses that are being received. */
+    BufferBudget.ConnectionShare responseMemory() {
+        return upstreams.responseMemory();
+    }
+
+    /** Creates the buffer for the body of a response. */
+    BodyBuffer newResponseBody() {
+        return new BodyBuffer(responseMemory(), options.maxResponseBodyBytes());
     }
 
     /** Ends an attempt with an outcome, unless it has already ended. */
     void finishAttempt(Http2Attempt attempt, Outcome outcome) {
         if (!attempt.ended()) {
-            upstreams.releaseResponseBytes(attempt.responseBytes());
             attempt.end(outcome, upstreams.reports(), upstreams.codec());
         }
     }
--- a/src/main/java/pondridge/platform/DiscoveryClient.java
+++ b/src/main/java/pondridge/platform/DiscoveryClient.java
@@ -32,6 +32,7 @@
 import pondridge.Balancer.EndpointListKind;
 import pondridge.Balancer.UpstreamState;
 import pondridge.core.EndpointDiscovery;
+import pondridge.core.HeapReceiveBuffers;
 import pondridge.core.Json;
 import pondridge.core.RequestLog;
 import pondridge.core.SocketMonitor;
@@ -288,6 +289,7 @@
                     .group(loop)
                     .channel(NioSocketChannel.class)
                     .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, CONNECT_TIMEOUT_MS)
+                    .option(ChannelOption.RECVBUF_ALLOCATOR, new HeapReceiveBuffers())
                     .handler(new ChannelInitializer<Channel>() {
                         @Override
                         protected void initChannel(Channel created) {
--- a/src/main/java/pondridge/sidecar/Main.java
+++ b/src/main/java/pondridge/sidecar/Main.java
@@ -14,6 +14,7 @@
 import java.util.function.Consumer;
 import pondridge.Balancer.RequestClass;
 import pondridge.control.SidecarControl;
+import pondridge.core.BufferBudgets;
 import pondridge.core.Engine;
 import pondridge.core.EventCounters;
 import pondridge.core.MonitoredIoHandler;
@@ -141,10 +142,15 @@
             SidecarSettings settings,
             boolean dryRun,
             CompletableFuture<Consumer<PlatformConfig>> configApplier) {
+        BufferBudgets budgets = BufferBudgets.ofThisProcess();
         Transport upstreams = settings == null
-                ? new Upstreams(loop, config.options(), config.maxUpstreamConnections())
+                ? newHttp1Transport(loop, config, budgets, counters)
                 : MixedProtocolTransport.of(
-                        loop, config.options(), settings.upstreams(), config.maxUpstreamConnections());
+                        loop,
+                        config.options(),
+                        settings.upstreams(),
+                        config.maxUpstreamConnections(),
+                        budgets.responses());
         Engine engine = new Engine(loop, config.options(), config.seed(), config.maxSockets() / 2, upstreams);
         if (settings != null && settings.store() != null) {
             SharedStoreBinding.start(
@@ -156,7 +162,7 @@
                 config.isDiscoveryPushed(),
                 config.cachedEndpoints().revision(),
                 engine::updateEndpoints);
-        Frontend frontend = new Frontend(engine, config.options(), config.maxClientConnections());
+        Frontend frontend = new Frontend(engine, config.options(), config.maxClientConnections(), budgets);
         RequestLog requestLog = RequestLog.fromEnvironment();
         engine.setRequestLog(requestLog);
         engine.setCounters(counters);
@@ -172,7 +178,7 @@
         }
         SecondaryFrontend secondary = settings == null || settings.grpc() == null
                 ? SecondaryFrontend.NONE
-                : new SecondaryFrontend.Grpc(loop, settings.grpc(), config, engine);
+                : new SecondaryFrontend.Grpc(loop, settings.grpc(), config, engine, budgets.total());
         // Only the discovery address is reloaded; all other settings keep their values from startup.
         configApplier.complete(newConfig -> loop.execute(() -> discovery.switchTo(newConfig.discoveryAddress())));
         secondary.listen(() -> RetryingBinder.bind(
@@ -186,6 +192,14 @@
                 }));
     }
 
+    private static Transport newHttp1Transport(
+            EventLoop loop, PlatformConfig config, BufferBudgets budgets, EventCounters counters) {
+        Upstreams upstreams =
+                new Upstreams(loop, config.options(), config.maxUpstreamConnections(), budgets.responses());
+        upstreams.setCounters(counters);
+        return upstreams;
+    }
+
     private static void markReady(PlatformConfig config, Frontend frontend, SecondaryFrontend secondary) {
         frontend.markReady();
         secondary.markReady();
--- a/src/main/java/pondridge/sidecar/SecondaryFrontend.java
+++ b/src/main/java/pondridge/sidecar/SecondaryFrontend.java
@@ -2,6 +2,7 @@
 
 import io.netty.channel.EventLoop;
 import java.net.InetSocketAddress;
+import pondridge.core.BufferBudget;
 import pondridge.core.Engine;
 import pondridge.grpc.GrpcFrontend;
 import pondridge.grpc.GrpcSettings;
@@ -37,7 +38,7 @@
         private final InetSocketAddress address;
         private final GrpcFrontend frontend;
 
-        Grpc(EventLoop loop, GrpcSettings settings, PlatformConfig config, Engine engine) {
+        Grpc(EventLoop loop, GrpcSettings settings, PlatformConfig config, Engine engine, BufferBudget processBudget) {
             this.loop = loop;
             address = settings.listenAddress();
             frontend = new GrpcFrontend(
@@ -45,6 +46,7 @@
                     settings,
                     config.options(),
                     engine,
+                    processBudget,
                     Long.toHexString(System.nanoTime()),
                     (event, peer, detail) -> System.err.println("pondridge: " + event + ' ' + peer + ": " + detail));
         }
--- a/src/main/java/pondridge/transport/MixedProtocolTransport.java
+++ b/src/main/java/pondridge/transport/MixedProtocolTransport.java
@@ -11,6 +11,7 @@
 import java.util.concurrent.TimeUnit;
 import pondridge.Balancer.Outcome;
 import pondridge.BalancerOptions;
+import pondridge.core.BufferBudget;
 import pondridge.core.Job;
 import pondridge.core.LoadReports;
 import pondridge.core.Transport;
@@ -57,16 +58,22 @@
      * Creates the transport for the configured protocol. Classes for HTTP/2 are loaded only if it is configured.
      *
      * @param maxConnections total limit of connections; the limit for HTTP/2 is deducted from that for HTTP/1.1
+     * @param responseBudget the memory for responses that are being received
      */
     public static Transport of(
-            EventLoop loop, BalancerOptions options, TransportSettings settings, int maxConnections) {
+            EventLoop loop,
+            BalancerOptions options,
+            TransportSettings settings,
+            int maxConnections,
+            BufferBudget responseBudget) {
         if (settings.protocol() == Protocol.HTTP1) {
-            return new Upstreams(loop, options, maxConnections);
+            return new Upstreams(loop, options, maxConnections, responseBudget);
         }
         if (settings.protocol() == Protocol.GRPC) {
-            return new Http2Upstreams(loop, options, settings.http2(), new GrpcUpstreamCodec(settings.grpc(), options));
+            return new Http2Upstreams(
+                    loop, options, settings.http2(), responseBudget, new GrpcUpstreamCodec(settings.grpc(), options));
         }
-        Http2Upstreams http2 = new Http2Upstreams(loop, options, settings.http2());
+        Http2Upstreams http2 = new Http2Upstreams(loop, options, settings.http2(), responseBudget);
         if (settings.protocol() == Protocol.HTTP2) {
             return http2;
         }
@@ -74,7 +81,7 @@
                 Math.max(maxConnections / 4, maxConnections - settings.http2().maxConnections());
         return new MixedProtocolTransport(
                 loop,
-                new Upstreams(loop, options, http1Connections),
+                new Upstreams(loop, options, http1Connections, responseBudget),
                 http2,
                 settings.http2().maxWaiting());
     }
--- a/src/test/java/pondridge/gateway/GatewayStateTest.java
+++ b/src/test/java/pondridge/gateway/GatewayStateTest.java
@@ -12,9 +12,9 @@
 import org.junit.jupiter.api.Test;
 import pondridge.Balancer.EndpointListKind;
 import pondridge.Balancer.UpstreamState;
+import pondridge.core.BufferBudget;
 import pondridge.core.Target;
 import pondridge.gateway.IdempotencyCache.Decision;
-import pondridge.http2.BufferBudget;
 
 /**
  * Unit tests of the state behind a link without I/O: idempotency cache, timestamps, credit, buffered bytes and
--- a/src/test/java/pondridge/grpc/GrpcTestFixture.java
+++ b/src/test/java/pondridge/grpc/GrpcTestFixture.java
@@ -23,6 +23,7 @@
 import java.util.List;
 import java.util.Map;
 import pondridge.BalancerOptions;
+import pondridge.core.BufferBudgets;
 import pondridge.core.EndpointDiscovery;
 import pondridge.core.Engine;
 import pondridge.core.Target;
@@ -70,7 +71,11 @@
                                 case HTTP1 -> new Upstreams(loop, options, 500);
                                 case HTTP2 -> new Http2Upstreams(loop, options, http2);
                                 default -> new Http2Upstreams(
-                                        loop, options, http2, new GrpcUpstreamCodec(settings, options));
+                                        loop,
+                                        options,
+                                        http2,
+                                        BufferBudgets.ofThisProcess().responses(),
+                                        new GrpcUpstreamCodec(settings, options));
                             };
                     Engine started = new Engine(loop, options, 7, 4_096, transport);
                     started.start(
--- a/src/test/java/pondridge/sidecar/DeployedProcess.java
+++ b/src/test/java/pondridge/sidecar/DeployedProcess.java
@@ -79,6 +79,10 @@
         }
     }
 
+    boolean isRunning() {
+        return process.isAlive();
+    }
+
     /** Sends a signal, such as STOP, to the program: the shell that started it was replaced by exec. */
     void signal(String name) throws Exception {
         assertEquals(
--- a/src/test/java/pondridge/transport/MixedFleetTest.java
+++ b/src/test/java/pondridge/transport/MixedFleetTest.java
@@ -10,6 +10,7 @@
 import org.junit.jupiter.api.Test;
 import pondridge.Balancer.Outcome;
 import pondridge.BalancerOptions;
+import pondridge.core.BufferBudgets;
 import pondridge.core.Transport;
 import pondridge.http2.ProtocolProbeResult;
 import pondridge.rig.Fleet;
@@ -25,7 +26,12 @@
 
     private static Transport transport(EventLoop loop, BalancerOptions options) {
         SettingsFile file = SettingsFile.parse("test", "[upstreams]\nprotocol = \"auto\"");
-        return MixedProtocolTransport.of(loop, options, TransportSettings.of(file, Path.of(".")), 500);
+        return MixedProtocolTransport.of(
+                loop,
+                options,
+                TransportSettings.of(file, Path.of(".")),
+                500,
+                BufferBudgets.ofThisProcess().responses());
     }
 
     @Test
