Fit delays, waits in vain and refusals of discovery calls into the 6 s of a change

Cause: each step was bounded, their sum was not. With 24 replicas or more a first call up to 1.5 s after the policy's start, 2 s in vain, 0.4 s, a refusal, up to 3.6 s for the next call since the fleet is large, and the wait of the answer. The time was counted from the first failure, not from the start of the process, which is when its list may be stale. Excluded: a late answer of the stand-in (answers 1.5 s as set), a sidecar's own delay in applying the list.

Change: DiscoveryCallSchedule keeps since when the list may be stale (start of the process, last line of a silent watch, last refusal before discovery came back) and shortens pauses where the next answer would come too late: after a wait in vain and a refusal, in either order; after refusals alone while there is time to spread such calls. First calls within 0.8 s of the process's start (1.5 s). Silence of a watch is noticed after 2.4 s (3 s; a line comes every 2 s), and small fleets call again with hardly a pause; an object still has 3 s.

--- a/src/main/java/pondridge/Balancer.java
+++ b/src/main/java/pondridge/Balancer.java
@@ -323,12 +323,30 @@
         int ALL_PEERS = 0xffff;
     }
 
-    /** Starts the instance. */
-    void start(long now);
+    /** Starts the instance, with a cached list that is current. */
+    default void start(long now) {
+        start(now, 0);
+    }
+
+    /**
+     * Starts the instance.
+     *
+     * @param listAgeNanos how long the cached list may have been stale: the time since the process started
+     */
+    void start(long now, long listAgeNanos);
 
     /** The endpoint list has changed; {@code entries} is empty for {@link EndpointListKind#FAILED}. */
     void endpointListChanged(long now, EndpointListKind kind, List<Upstream> entries);
 
+    /**
+     * A call to discovery has failed, or its watch has ended.
+     *
+     * @param silentNanos how long nothing had been received on a watch that has fallen silent; otherwise 0
+     */
+    default void discoveryCallFailed(long now, long silentNanos) {
+        endpointListChanged(now, EndpointListKind.FAILED, List.of());
+    }
+
     /** A client's request has arrived. */
     void requestArrived(long now, Request request);
 
--- a/src/main/java/pondridge/LoadBalancingPolicy.java
+++ b/src/main/java/pondridge/LoadBalancingPolicy.java
@@ -52,8 +52,8 @@
     }
 
     @Override
-    public void start(long now) {
-        serverList.start(now);
+    public void start(long now, long listAgeNanos) {
+        serverList.start(now, listAgeNanos);
         timers.armHostTimer();
     }
 
@@ -65,6 +65,12 @@
         timers.armHostTimer();
     }
 
+    @Override
+    public void discoveryCallFailed(long now, long silentNanos) {
+        serverList.callFailed(now, silentNanos);
+        timers.armHostTimer();
+    }
+
     @Override
     public void requestArrived(long now, Request request) {
         if (request.requestClass() >= settings.classes().size()) {
@@ -566,51 +572,12 @@
         private final TreeMap<Long, Server> servers = new TreeMap<>();
         private List<Server> readyServers = List.of();
         private boolean listReceived;
-        /**
-         * A change must be received within 6 s of being available from discovery; a discovery call may wait 2 s
-         * of them.
-         */
-        private static final long SUBSCRIBE_TIMEOUT_NANOS = 6_000_000_000L - 2_000_000_000L;
-        /**
-         * Longest interval between the starts of two discovery calls; the shortest is half of it. Three
-         * intervals and the wait of one call fit into the 6 s.
-         */
-        private static final long MAX_SUBSCRIBE_INTERVAL_NANOS = 1_200_000_000L;
-        /** Upper limit of the jitter of discovery calls that follow the same interruption or the same start. */
-        private static final long MAX_RECONNECT_JITTER_NANOS = 750_000_000L;
-        /**
-         * A change missed during an interruption must be received within the drain grace plus the wait of one
-         * call, so the jitter uses only a part of the drain grace.
-         */
-        private final long reconnectJitterNanos = Math.min(MAX_RECONNECT_JITTER_NANOS, (long)
-                (0.8 * settings.safetyLimits().drainGraceNanos()));
-        /**
-         * With many sidecars, one that discovery rejects at once calls less often at first, in favor of those
-         * that have waited longer; after this time without a response it calls at full pace.
-         */
-        private static final long FULL_PACE_AFTER_NANOS = 6_000_000_000L;
+        /** After this time without any outcome a discovery call is replaced: 2 s are left for the next one. */
+        private static final long SUBSCRIBE_TIMEOUT_NANOS =
+                DiscoveryCallSchedule.RECEIVE_WITHIN_NANOS - DiscoveryCallSchedule.MAX_CALL_NANOS;
 
-        private static final double MAX_INTERVAL_FACTOR = 3;
-        /** Up to this number of replicas, discovery calls are not slowed down: they cost little. */
-        private static final double REPLICAS_AT_FULL_PACE = 8;
-        /**
-         * Upper limit of the pause after a call that outlasted its interval. A call without a response has used up
-         * half of the 6 s by then.
-         */
-        private static final long MAX_PAUSE_AFTER_CALL_NANOS = 200_000_000L;
-        /**
-         * The pause, with many sidecars, after a call that waited in vain. Discovery works through the calls in its
-         * queue even if their callers have given up, so a fleet that calls again at once keeps the queue longer
-         * than a call may wait, and nobody gets a response. The waits of two calls, 2 s each, and the longest pause
-         * stay within the 6 s.
-         */
-        private static final long MIN_PAUSE_AFTER_TIMEOUT_NANOS = 1_250_000_000L;
-
-        private static final long MAX_PAUSE_AFTER_TIMEOUT_NANOS = 1_750_000_000L;
-        /** Discovery refuses a call that has waited for 2 s; one without any response for longer was not queued. */
-        private static final long MAX_QUEUED_CALL_NANOS = 2_300_000_000L;
-        /** Within this time after their start many sidecars that were started together make their first calls. */
-        private static final long MAX_FIRST_CALL_DELAY_NANOS = 1_500_000_000L;
+        private final DiscoveryCallSchedule callSchedule = new DiscoveryCallSchedule(
+                settings.replicaCount(), settings.safetyLimits().drainGraceNanos());
 
         private final double overloadFactor = settings.safetyLimits().overloadFactor();
         /**
@@ -637,26 +604,22 @@
         private long lastServedAt;
         private long observedSince;
         private long subscribeGeneration;
-        private long subscribedAt;
-        private boolean failing;
-        private long failingSince;
         private boolean subscriptionBroken;
 
         /** Makes the first call: at once, or with many sidecars after a delay drawn for this one. */
-        void start(long now) {
-            long delay = (long) (slowdownOfCalls() * MAX_FIRST_CALL_DELAY_NANOS * jitterRandom.nextDouble());
-            if (delay == 0 || settings.discoveryMode() != DiscoveryMode.SUBSCRIBE) {
+        void start(long now, long listAgeNanos) {
+            long firstCallAt = callSchedule.firstCallAt(now, listAgeNanos, jitterRandom.nextDouble());
+            if (firstCallAt == now || settings.discoveryMode() != DiscoveryMode.SUBSCRIBE) {
                 subscribe(now);
             } else {
-                subscribedAt = now;
-                scheduleSubscribe(now + delay);
+                scheduleSubscribe(firstCallAt);
             }
         }
 
         void subscribe(long now) {
             subscriptionBroken = false;
             if (settings.discoveryMode() == DiscoveryMode.SUBSCRIBE) {
-                subscribedAt = now;
+                callSchedule.callStarted(now);
                 actions.setSubscription(true);
                 scheduleSubscribe(now + SUBSCRIBE_TIMEOUT_NANOS);
             }
@@ -672,66 +635,26 @@
         }
 
         /**
-         * Schedules the next subscription call. A broken subscription delivers no more changes. Calls made at
-         * once by many sidecars whose calls failed together would overload discovery; with exponential backoff
-         * the last one would miss the 6 s. So calls start at a steady pace with jitter drawn anew for each, and
-         * at most one is outstanding.
+         * Schedules the next subscription call. A broken subscription delivers no more changes. At most one call is
+         * outstanding.
          */
-        private void onSubscriptionFailure(long now) {
-            double jitter = jitterRandom.nextDouble();
-            failingSince = failing ? failingSince : now;
-            boolean rejectedEarly = failing && now - subscribedAt < MAX_SUBSCRIBE_INTERVAL_NANOS / 2;
-            double intervalFactor = rejectedEarly ? intervalFactor(now - failingSince) : 1;
-            long nextSlot = subscribedAt + (long) (intervalFactor * MAX_SUBSCRIBE_INTERVAL_NANOS * (1 + jitter) / 2);
-            scheduleSubscribe(Math.max(nextSlot, now + pauseNanos(now, jitter)));
-            failing = true;
-            subscriptionBroken = true;
-        }
-
-        private long pauseNanos(long now, double jitter) {
-            if (!failing) {
-                return (long) (reconnectJitterNanos * jitter);
+        void callFailed(long now, long silentNanos) {
+            if (!subscriptionBroken) {
+                subscriptionBroken = true;
+                scheduleSubscribe(callSchedule.nextCallAt(now, silentNanos, jitterRandom.nextDouble()));
             }
-            double pause = MAX_PAUSE_AFTER_CALL_NANOS * jitter;
-            long waited = now - subscribedAt;
-            if (waited >= MAX_SUBSCRIBE_INTERVAL_NANOS && waited <= MAX_QUEUED_CALL_NANOS) {
-                double pauseAfterTimeout = MIN_PAUSE_AFTER_TIMEOUT_NANOS
-                        + (MAX_PAUSE_AFTER_TIMEOUT_NANOS - MIN_PAUSE_AFTER_TIMEOUT_NANOS) * jitter;
-                pause = Math.max(pause, slowdownOfCalls() * pauseAfterTimeout);
-            }
-            return (long) pause;
-        }
-
-        /** How much slower than at full pace this fleet calls discovery: 0 for a small one, 1 for a large one. */
-        private double slowdownOfCalls() {
-            return (initialIntervalFactor() - 1) / (MAX_INTERVAL_FACTOR - 1);
-        }
-
-        private double initialIntervalFactor() {
-            return Math.max(1, Math.min(MAX_INTERVAL_FACTOR, settings.replicaCount() / REPLICAS_AT_FULL_PACE));
-        }
-
-        /**
-         * Returns the multiple of the normal interval between two calls for a sidecar that has waited this long
-         * for a response.
-         */
-        private double intervalFactor(long waitedNanos) {
-            double initialFactor = initialIntervalFactor();
-            return Math.max(1, initialFactor - (initialFactor - 1) * waitedNanos / FULL_PACE_AFTER_NANOS);
         }
 
         void listChanged(long now, EndpointListKind kind, List<Upstream> entries) {
             if (kind == EndpointListKind.FAILED) {
-                if (!subscriptionBroken) {
-                    onSubscriptionFailure(now);
-                }
+                callFailed(now, 0);
                 return;
             }
             // A full list may arrive by a separate fetch while the subscription is broken. Taken for the
             // response of the subscription, it would end the calls for good.
             if (kind != EndpointListKind.CACHED && !subscriptionBroken) {
                 subscribeGeneration++;
-                failing = false;
+                callSchedule.responseReceived();
             }
             Set<Long> missing = new TreeSet<>(kind == EndpointListKind.DELTA ? Set.of() : servers.keySet());
             boolean changed = false;
--- a/src/main/java/pondridge/core/EndpointDiscovery.java
+++ b/src/main/java/pondridge/core/EndpointDiscovery.java
@@ -8,6 +8,11 @@
     /** Requests the full list once. */
     void fetch();
 
+    /** How long nothing had been received on the watch that failed last; 0 if it did not fall silent. */
+    default long silentNanos() {
+        return 0;
+    }
+
     /** Reads what lies unread in the sockets to discovery and reports it at once. */
     default void readUnread() {}
 }
--- a/src/main/java/pondridge/core/Engine.java
+++ b/src/main/java/pondridge/core/Engine.java
@@ -212,10 +212,19 @@
         options.list("kinds").forEach(kind -> numberOf(kindNumbers, kind));
     }
 
-    /** Starts with the cached endpoint list. This and all following methods are called on the event loop. */
+    /** Starts with a cached endpoint list that is current. */
     public void start(EndpointDiscovery discovery, List<Target> cachedTargets) {
+        start(discovery, cachedTargets, 0);
+    }
+
+    /**
+     * Starts with the cached endpoint list. This and all following methods are called on the event loop.
+     *
+     * @param listAgeNanos how long the list may have been stale: the time since the process started
+     */
+    public void start(EndpointDiscovery discovery, List<Target> cachedTargets, long listAgeNanos) {
         this.discovery = discovery;
-        dispatch(balancer::start);
+        dispatch(now -> balancer.start(now, listAgeNanos));
         updateEndpoints(EndpointListKind.CACHED, cachedTargets);
     }
 
@@ -364,6 +373,11 @@
 
     /** Applies an endpoint list or a change to it, or passes on the failure of a discovery call. */
     public void updateEndpoints(EndpointListKind kind, List<Target> targets) {
+        if (kind == EndpointListKind.FAILED) {
+            long silentNanos = discovery.silentNanos();
+            dispatch(now -> balancer.discoveryCallFailed(now, silentNanos));
+            return;
+        }
         List<Upstream> entries = new ArrayList<>(targets.size());
         Map<Long, Target> targetsById = new HashMap<>();
         long nowMillis = now() / 1_000_000;
--- a/src/main/java/pondridge/platform/DiscoveryClient.java
+++ b/src/main/java/pondridge/platform/DiscoveryClient.java
@@ -46,11 +46,13 @@
  */
 public final class DiscoveryClient implements EndpointDiscovery {
     /**
-     * Limit on silence on an open watch, and on receiving one object. The service sends an empty line every
-     * 2 s, so a longer pause means that the watch has broken. A change missed that way counts as received 6 s
-     * after the last message; the second half of that time is left for two further calls.
+     * Limit on silence on an open watch. The service sends an empty line every 2 s, so a longer pause means that
+     * the watch has broken. A change missed that way counts as received 6 s after the last message; the rest of
+     * that time is left for two further calls.
      */
-    private static final long WATCH_IDLE_TIMEOUT_MS = 3_000;
+    private static final long WATCH_IDLE_TIMEOUT_MS = 2_400;
+    /** Limit on receiving one object on an open watch. */
+    private static final long OBJECT_TIMEOUT_MS = 3_000;
     /** A call may be held for up to 2 s; without a complete first response after this time it is abandoned. */
     private static final long FIRST_RESPONSE_TIMEOUT_MS = 2_500;
     /** Limit on the next object after one was not complete in time: a late list is better than none. */
@@ -126,6 +128,9 @@
     private InetSocketAddress nextAddress;
 
     private boolean watchRequested;
+    /** Whether the failure that is being reported is that of a watch that has fallen silent. */
+    private boolean watchSilent;
+
     /** Whether the last object was not complete in time. */
     private boolean extendObjectTimeout;
 
@@ -235,6 +240,11 @@
         new Call(false).open();
     }
 
+    @Override
+    public long silentNanos() {
+        return watchSilent ? TimeUnit.MILLISECONDS.toNanos(WATCH_IDLE_TIMEOUT_MS) : 0;
+    }
+
     @Override
     public void readUnread() {
         for (Call call : List.copyOf(openCalls)) {
@@ -329,6 +339,10 @@
                     || timeout != null && !responded && !pushed && !(bodyStarted && extendObjectTimeout)) {
                 return;
             }
+            restartTimeout();
+        }
+
+        private void restartTimeout() {
             if (timeout != null) {
                 timeout.cancel(false);
             }
@@ -340,14 +354,16 @@
                 return EXTENDED_OBJECT_TIMEOUT_MS;
             }
             if (responded || pushed && bodyStarted) {
-                return WATCH_IDLE_TIMEOUT_MS;
+                return splitter.size() > 0 ? OBJECT_TIMEOUT_MS : WATCH_IDLE_TIMEOUT_MS;
             }
             return pushed ? AGENT_RESPONSE_TIMEOUT_MS : FIRST_RESPONSE_TIMEOUT_MS;
         }
 
         private void onTimeout() {
             extendObjectTimeout |= splitter.size() > 0;
+            watchSilent = watching && responded;
             fail("silent for too long");
+            watchSilent = false;
         }
 
         void close() {
@@ -394,7 +410,12 @@
                 return;
             }
             if (message instanceof HttpContent content) {
+                boolean inObject = splitter.size() > 0;
                 readBytes(content.content());
+                if (!closed && !inObject && splitter.size() > 0 && (responded || pushed)) {
+                    // An object has begun, which may take longer than the pause before it.
+                    restartTimeout();
+                }
                 if (!closed && message instanceof LastHttpContent) {
                     if (watching || !responded) {
                         fail("ended");
--- a/src/main/java/pondridge/sidecar/Main.java
+++ b/src/main/java/pondridge/sidecar/Main.java
@@ -39,6 +39,9 @@
     private static final long FINAL_WRITES_MS = 500;
 
     private static final long DRAIN_POLL_MS = 20;
+    /** By {@link System#nanoTime}. The cached list is as old as the process, at least. */
+    private static final long STARTED_AT_NANOS = System.nanoTime();
+
     /**
      * The listener closes when no client has connected for this time, because connections in the accept queue would
      * be reset.
@@ -173,7 +176,7 @@
             SidecarControl.start(
                     loop, engine, settings.control(), config.cachedEndpoints().targets());
         } else {
-            engine.start(discovery, config.cachedEndpoints().targets());
+            engine.start(discovery, config.cachedEndpoints().targets(), System.nanoTime() - STARTED_AT_NANOS);
             discovery.startIfPushed();
         }
         SecondaryFrontend secondary = settings == null || settings.grpc() == null
--- a/src/test/java/pondridge/DiscoveryOverloadTest.java
+++ b/src/test/java/pondridge/DiscoveryOverloadTest.java
@@ -27,7 +27,6 @@
 
     private static final long RESTART_DURATION = 2_700 * MS;
     private static final double RESTARTED = 0.7;
-    private static final int MAX_QUEUED_CALLS = 32;
     private static final int REJECTIONS_PER_RESPONSE = 20;
     /** A change counts as received 6 s after discovery had it and could be reached. */
     private static final long LIMIT = 6 * SECOND;
@@ -51,12 +50,14 @@
         final ArrayDeque<Call> queue = new ArrayDeque<>();
         final ArrayDeque<Call> outstanding = new ArrayDeque<>();
         final long responseCost;
+        final int maxQueuedCalls;
         final long seed;
         long freeAt;
         long now;
         long longestWait;
 
-        Model(int sidecars, int responsesPerSecond, long seed) {
+        Model(int sidecars, int responsesPerSecond, int maxQueuedCalls, long seed) {
+            this.maxQueuedCalls = maxQueuedCalls;
             this.seed = seed;
             hosts = new RecordingHost[sidecars];
             open = new Call[sidecars];
@@ -88,7 +89,7 @@
                 open[sidecar].ended = true;
             }
             open[sidecar] = null;
-            if (now >= OUTAGE && queue.size() >= MAX_QUEUED_CALLS) {
+            if (now >= OUTAGE && queue.size() >= maxQueuedCalls) {
                 freeAt = Math.max(freeAt, now) + responseCost / REJECTIONS_PER_RESPONSE;
                 fail(sidecar);
                 return;
@@ -173,11 +174,12 @@
     }
 
     @ParameterizedTest
-    @CsvSource({"24, 5", "40, 8", "100, 20"})
-    void everySidecarIsAnsweredInTimeAfterAnOutageAndARestartOfMost(int sidecars, int responsesPerSecond) {
+    @CsvSource({"24, 5, 32", "40, 8, 32", "100, 20, 32"})
+    void everySidecarIsAnsweredInTimeAfterAnOutageAndARestartOfMost(
+            int sidecars, int responsesPerSecond, int maxQueuedCalls) {
         long[] waits = new long[SEEDS];
         for (int i = 0; i < SEEDS; i++) {
-            Model model = new Model(sidecars, responsesPerSecond, FIRST_SEED + i);
+            Model model = new Model(sidecars, responsesPerSecond, maxQueuedCalls, FIRST_SEED + i);
             model.run(OUTAGE + 20 * SECOND);
             waits[i] = model.longestWait / MS;
         }
--- a/src/test/java/pondridge/DiscoverySubscriptionTest.java
+++ b/src/test/java/pondridge/DiscoverySubscriptionTest.java
@@ -11,6 +11,8 @@
 import java.util.Random;
 import java.util.stream.IntStream;
 import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.EnumSource;
 import pondridge.Balancer.DiscoveryMode;
 import pondridge.Balancer.EndpointListKind;
 import pondridge.Balancer.SafetyLimits;
@@ -211,6 +213,57 @@
         }
     }
 
+    /** What precedes the call that is answered. */
+    private enum Chain {
+        WAIT_IN_VAIN(2_000 * MS),
+        WAIT_IN_VAIN_THEN_REFUSED(2_000 * MS, 20 * MS),
+        REFUSED_THEN_WAIT_IN_VAIN(20 * MS, 2_000 * MS),
+        REFUSED_TWICE(20 * MS, 20 * MS);
+
+        final long[] failures;
+
+        Chain(long... failures) {
+            this.failures = failures;
+        }
+    }
+
+    /** When the call that follows a chain of failed ones is answered, after waiting for as long as a call may. */
+    private static long answeredAt(RecordingHost host, Chain chain) {
+        for (int i = 0; i <= chain.failures.length; i++) {
+            while (host.subscribeCalls <= i) {
+                host.advance(host.timers.peek().dueNanos() - host.now);
+            }
+            if (i < chain.failures.length) {
+                host.advance(chain.failures[i]);
+                host.policy.endpointListChanged(host.now, EndpointListKind.FAILED, List.of());
+            }
+        }
+        return host.now + 2 * SECOND;
+    }
+
+    /**
+     * Guards against drains noticed too late by a process that was started when discovery has too many callers: the
+     * delay of its first call, a call that waits in vain, one that is refused and the pauses after them added up to
+     * more than the 6 s and the drain grace.
+     */
+    @ParameterizedTest
+    @EnumSource(Chain.class)
+    void successiveCallsAfterAStartFitIntoSixSecondsAndTheGrace(Chain chain) {
+        for (int replicas : new int[] {1, 3, 8, 9, 12, 16, 24, 40, 100, 1_000, 16_000}) {
+            for (long grace : new long[] {500 * MS, 2 * SECOND}) {
+                for (int seed = 0; seed < 200; seed++) {
+                    RecordingHost host = new RecordingHost(settings(10 * SECOND, grace, replicas), seed);
+                    long startedAt = host.now;
+                    long received = answeredAt(host, chain) - startedAt;
+                    assertTrue(
+                            received <= 6 * SECOND + grace,
+                            replicas + " sidecars, grace " + grace / MS + " ms, seed " + seed + ": received after "
+                                    + received / MS + " ms");
+                }
+            }
+        }
+    }
+
     /**
      * All subscriptions break at once and all calls are rejected at once, which is the worst case. Checks the calls
      * in each tenth of a second and the calls of each sidecar.
