Count a first discovery call as waited in vain also if the process was held up before it

Cause: a process that has just started compiles and warms up, so its first request was sent up to 0.5 s after the call was decided.

Change: any call that took over 1.2 s counts as waited in vain; only what it proves of discovery depends on 2.3 s. The 2.5 s for a first response run from the moment the request is sent, so a 503 after 2 s still arrives.

Test: LONG_WAIT_THEN_REFUSED, red on the code before (7,037 ms), now green.

--- a/src/main/java/pondridge/DiscoveryCallSchedule.java
+++ b/src/main/java/pondridge/DiscoveryCallSchedule.java
@@ -40,7 +40,10 @@
     private static final long MIN_PAUSE_AFTER_QUEUE_NANOS = 1_250_000_000L;
 
     private static final long MAX_PAUSE_AFTER_QUEUE_NANOS = 1_750_000_000L;
-    /** Discovery refuses a call that has waited for 2 s; one without any response for longer was not queued. */
+    /**
+     * Discovery refuses a call that has waited for 2 s. One that failed later may not have been queued at all, or this
+     * process was held up before it sent the request, as at its start.
+     */
     private static final long MAX_QUEUED_CALL_NANOS = 2_300_000_000L;
     /** Within this time after their start many sidecars that were started together make their first calls. */
     private static final long MAX_FIRST_CALL_DELAY_NANOS = 800_000_000L;
@@ -55,7 +58,9 @@
         WATCH,
         /** A call has waited for its turn for as long as it may; so discovery is up. */
         QUEUED_CALL,
-        /** A call was refused at once or not answered at all; discovery may be down. */
+        /** A call took even longer, without an answer; discovery may be down. */
+        UNANSWERED_CALL,
+        /** A call was refused soon; discovery may be down. */
         REFUSED_CALL
     }
 
@@ -121,8 +126,9 @@
         } else if (failure == Failure.REFUSED_CALL) {
             refusedAt = now;
         } else {
-            if (!waitedInVain && refusedAt != NEVER && latestCallAt() <= now) {
-                // Discovery has been down and is back. A change counts from its return.
+            boolean discoveryIsUp = failure == Failure.QUEUED_CALL;
+            if (discoveryIsUp && !waitedInVain && refusedAt != NEVER && latestCallAt() <= now) {
+                // It has been down and is back. A change counts from its return.
                 staleSince = refusedAt;
             }
             waitedInVain = true;
@@ -137,9 +143,10 @@
             return Failure.WATCH;
         }
         long waited = now - callStartedAt;
-        return waited >= MAX_INTERVAL_NANOS && waited <= MAX_QUEUED_CALL_NANOS
-                ? Failure.QUEUED_CALL
-                : Failure.REFUSED_CALL;
+        if (waited < MAX_INTERVAL_NANOS) {
+            return Failure.REFUSED_CALL;
+        }
+        return waited <= MAX_QUEUED_CALL_NANOS ? Failure.QUEUED_CALL : Failure.UNANSWERED_CALL;
     }
 
     /** When to call if there is time enough: so seldom that the fleet does not overload discovery. */
--- a/src/main/java/pondridge/platform/DiscoveryClient.java
+++ b/src/main/java/pondridge/platform/DiscoveryClient.java
@@ -327,6 +327,8 @@
             request.headers()
                     .set(HttpHeaderNames.HOST, address.getAddress().getHostAddress() + ":" + address.getPort());
             channel.writeAndFlush(request);
+            // The wait at the service begins now, which after a stall of the loop may be long after the call's start.
+            restartTimeout();
         }
 
         /**
--- a/src/test/java/pondridge/DiscoverySubscriptionTest.java
+++ b/src/test/java/pondridge/DiscoverySubscriptionTest.java
@@ -217,6 +217,8 @@
     private enum Chain {
         WAIT_IN_VAIN(2_000 * MS),
         WAIT_IN_VAIN_THEN_REFUSED(2_000 * MS, 20 * MS),
+        /** The process is busy for some time before the request of its first call is sent. */
+        LONG_WAIT_THEN_REFUSED(2_350 * MS, 20 * MS),
         REFUSED_THEN_WAIT_IN_VAIN(20 * MS, 2_000 * MS),
         REFUSED_TWICE(20 * MS, 20 * MS);
 
