--- a/src/test/java/pondridge/DiscoverySubscriptionTest.java
+++ b/src/test/java/pondridge/DiscoverySubscriptionTest.java
@@ -266,6 +266,30 @@
         }
     }
 
+    /**
+     * Guards against drains noticed too late by a small fleet whose watches fall silent while discovery has too many
+     * callers: the time until the silence is noticed, the jitter, a call that waits in vain and a pause added up.
+     */
+    @Test
+    void aSilentWatchAndACallInVainFitIntoSixSecondsAndTheGrace() {
+        long silence = 2_400 * MS;
+        long grace = 500 * MS;
+        for (int replicas : new int[] {1, 3, 8}) {
+            for (int seed = 0; seed < 200; seed++) {
+                RecordingHost host = new RecordingHost(settings(10 * SECOND, grace, replicas), seed);
+                host.policy.endpointListChanged(host.now, EndpointListKind.DELTA, List.of());
+                host.advance(10 * SECOND);
+                long silentSince = host.now - silence;
+                host.subscribeCalls = 0;
+                host.policy.discoveryCallFailed(host.now, silence);
+                long received = answeredAt(host, Chain.WAIT_IN_VAIN) - 200 * MS - silentSince;
+                assertTrue(
+                        received <= 6 * SECOND + grace,
+                        replicas + " sidecars, seed " + seed + ": received after " + received / MS + " ms");
+            }
+        }
+    }
+
     /**
      * All subscriptions break at once and all calls are rejected at once, which is the worst case. Checks the calls
      * in each tenth of a second and the calls of each sidecar.
