--- a/src/main/java/pondridge/core/BufferBudgets.java
+++ b/src/main/java/pondridge/core/BufferBudgets.java
@@ -9,7 +9,7 @@
  * @param responses for responses, from the first byte until they are written
  */
 public record BufferBudgets(BufferBudget total, BufferBudget requests, BufferBudget responses) {
-    /** Fraction of the heap for both directions; with the guaranteed parts and those in transfer it stays under half. */
+    /** Fraction of the heap for both directions; with the guaranteed parts it stays under half. */
     private static final double TOTAL_FRACTION = 0.4;
     /** Fraction of a direction's budget that its connections together have guaranteed. */
     private static final double GUARANTEED_FRACTION = 0.25;
