--- a/review/7/LateRefusal.java
+++ b/review/7/LateRefusal.java
@@ -13,11 +13,11 @@
     private static final int CLIENTS = 4;
     private static final int ONE_IN = 10;
     /** The class's time and window, as the settings give them. */
-    private static final int DEADLINE_MS = 2_000;
+    private static final int DEADLINE_MS = 1_500;
 
-    private static final int WINDOW_MS = 400;
+    private static final int WINDOW_MS = 250;
     /** From the end of the work to the reset. */
-    private static final int RESET_AFTER_MS = 400;
+    private static final int RESET_AFTER_MS = 220;
 
     private static final int RUN_MS = 10_000;
 
@@ -74,7 +74,7 @@
             discovery.set(upstream.uid, upstream.entry("SERVING", 0), false);
         }
         Rig.Settings settings = new Rig.Settings();
-        settings.replaceClass("order-confirm", 800, DEADLINE_MS, 10, "by_key", "all", WINDOW_MS);
+        settings.replaceClass("order-confirm", 500, DEADLINE_MS, 10, "by_key", "all", WINDOW_MS);
         AtomicInteger served = new AtomicInteger();
         AtomicInteger refused = new AtomicInteger();
         AtomicInteger failed = new AtomicInteger();
