Review, case 6: an unsafe request is run twice after a decline that comes twice

Cause: http1/Upstreams uses a connection again at once, so the late second copy of a decline is read as the answer to the next request on it. A decline proves that the request never ran, so the policy sends it to another upstream, while the first is running it.

Measured: ten sidecars, nine upstreams, bursts of 120 a second, one request in twelve is turned away, each of these answers comes again after 8 ms.

--- a/review/rig-2/Discovery.java
+++ b/review/rig-2/Discovery.java
@@ -11,7 +11,12 @@
 
 /** A stand-in for discovery, by the protocol page: whole lists, and watches with an empty line every 2 s. */
 final class Discovery implements AutoCloseable {
-    private static final long EMPTY_LINE_MS = 2_000;
+    private static final long EMPTY_LINE_NANOS = 2_000_000_000L;
+    /** The version of the list before any change that this service knows of. */
+    private static final long FIRST_REV = 41;
+
+    /** How long a call may wait for its turn. */
+    private static final long CALL_LIMIT_NANOS = 2_000_000_000L;
 
     private record Change(long rev, String uid, String entry) {}
 
@@ -20,11 +25,26 @@
     private final Rig.Record record;
     private final Map<String, String> serving = new LinkedHashMap<>();
     private final List<Change> changes = new ArrayList<>();
-    private long rev = 41;
+    private long rev = FIRST_REV;
     private volatile int waitMs;
+    /** The queue's calls one after another: how long each takes, or 0 for any number at once. */
+    private final int callMs;
+
+    private long busyUntilNanos = System.nanoTime();
+    /** Grows when the open watches fall silent. */
+    private int generation;
+
+    private int openWatches;
+    private final long startNanos = System.nanoTime();
 
     Discovery(Rig.Record record) throws IOException {
+        this(record, 0);
+    }
+
+    /** A service that works through calls in turn; a call that would wait for over 2 s ends with 503 after them. */
+    Discovery(Rig.Record record, int callMs) throws IOException {
         this.record = record;
+        this.callMs = callMs;
         this.address = (InetSocketAddress) listener.getLocalSocketAddress();
         Rig.daemon(this::accept);
     }
@@ -47,6 +67,37 @@
         waitMs = newWaitMs;
     }
 
+    /** All open watches fall silent 0.1 s after their next empty line; new ones work. Returns how many. */
+    int silenceAfterNextLine() throws InterruptedException {
+        Thread.sleep(Math.max(0, (nextTick() - System.nanoTime()) / 1_000_000) + 100);
+        synchronized (this) {
+            generation++;
+            record.line(openWatches + " watches fall silent");
+            return openWatches;
+        }
+    }
+
+    synchronized int openWatches() {
+        return openWatches;
+    }
+
+    /** Waits for the call's turn; returns whether it came within the limit. */
+    private boolean waitForTurn() throws InterruptedException {
+        long untilNanos;
+        boolean inTime;
+        synchronized (this) {
+            long now = System.nanoTime();
+            long done = Math.max(now, busyUntilNanos) + callMs * 1_000_000L;
+            inTime = done - now <= CALL_LIMIT_NANOS;
+            if (inTime) {
+                busyUntilNanos = done;
+            }
+            untilNanos = inTime ? done : now + CALL_LIMIT_NANOS;
+        }
+        Thread.sleep(Math.max(0, (untilNanos - System.nanoTime()) / 1_000_000));
+        return inTime;
+    }
+
     /** The whole list, as one JSON object. */
     synchronized String list() {
         return "{\"rev\":" + rev + ",\"all\":true,\"targets\":[" + String.join(",", serving.values()) + "]}";
@@ -74,6 +125,11 @@
             OutputStream out = connection.getOutputStream();
             record.line("discovery " + Rig.text(address) + " is called: " + path);
             Thread.sleep(waitMs);
+            if (callMs > 0 && !waitForTurn()) {
+                record.line("discovery " + Rig.text(address) + " answers 503: " + path);
+                out.write(Rig.bytes("HTTP/1.1 503 Service Unavailable\r\nContent-Length: 0\r\n\r\n"));
+                return;
+            }
             if (path.contains("watch=1")) {
                 watch(out, Long.parseLong(path.replaceAll(".*from=", "")));
             } else {
@@ -88,17 +144,36 @@
 
     private void watch(OutputStream out, long from) throws IOException, InterruptedException {
         out.write(Rig.bytes("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"));
+        int openedIn;
+        synchronized (this) {
+            openedIn = generation;
+            openWatches++;
+        }
+        try {
+            write(out, from, openedIn);
+        } finally {
+            synchronized (this) {
+                openWatches--;
+            }
+        }
+    }
+
+    private void write(OutputStream out, long from, int openedIn) throws IOException, InterruptedException {
         long told = from;
         boolean first = true;
         while (true) {
             String line = "";
             synchronized (this) {
-                if (first && told < 41) {
+                long tick = nextTick();
+                while (!first && told >= rev && generation == openedIn && System.nanoTime() < tick) {
+                    wait(Math.max(1, (tick - System.nanoTime()) / 1_000_000));
+                }
+                while (generation != openedIn) {
+                    wait();
+                }
+                if (first && told < FIRST_REV) {
                     line = list();
                 } else {
-                    if (!first && told >= rev) {
-                        wait(EMPTY_LINE_MS);
-                    }
                     long after = told;
                     List<String> entries = changes.stream()
                             .filter(change -> change.rev > after)
@@ -119,6 +194,12 @@
         }
     }
 
+    /** When the next empty line is due, which all watches get at the same time. */
+    private long nextTick() {
+        long sinceStart = System.nanoTime() - startNanos;
+        return startNanos + (sinceStart / EMPTY_LINE_NANOS + 1) * EMPTY_LINE_NANOS;
+    }
+
     @Override
     public void close() {
         Rig.closeQuietly(listener);
--- a/review/rig-2/Rig.java
+++ b/review/rig-2/Rig.java
@@ -225,6 +225,9 @@
         String discovery = "subscribe";
         boolean mayCancel = true;
         int sidecars = 3;
+        int graceMs = 2000;
+        /** The names of the fields of load reports, quoted and with commas; empty for none. */
+        String reportFields = "\"rate\",\"lat_ms\",\"fail_rate\",\"q\"";
         /** Per class: name, aim, deadline, worth, semantics, scope of the keys, and how long keys are kept. */
         List<Object[]> classes = new ArrayList<>(List.of(
                 new Object[] {"stock-check", 200, 400, 1, "repeatable", "all", 5000},
@@ -253,7 +256,7 @@
                             + "\"zones\":[\"ebene\",\"port-louis\",\"rose-belle\"],\"kinds\":[\"std-3c\"],"
                             + "\"stages\":[\"order-api\"],\"serviceType\":\"mesh\",\"weights\":\"silent\","
                             + "\"valueBy\":\"request\",\"overShareWorth\":0.1,"
-                            + "\"report\":{\"how\":\"piggyback\",\"fields\":[\"rate\",\"lat_ms\",\"fail_rate\",\"q\"]},"
+                            + "\"report\":{\"how\":\"%s\",\"fields\":[%s]},"
                             + "\"clients\":{\"marksRetry\":false},"
                             + "\"caps\":{\"mayCancel\":%b,\"mayProbe\":true,\"peers\":false,\"parallelTries\":true,"
                             + "\"retryAfter\":false,\"tryLimit\":6,\"maxOpen\":23821,\"maxRetryAfter\":750000000,"
@@ -261,14 +264,17 @@
                             + "\"cpuUsPerS\":9528,\"cpuUsPerRequest\":0.0},"
                             + "\"charges\":{\"probe\":0.01,\"peer\":0.0},"
                             + "\"rules\":{\"answerSlack\":20000000,\"askWithin\":10000000000,\"coldShare\":0.39,"
-                            + "\"overloadFactor\":4.0,\"rampTime\":7400000000,\"stopSendingWithin\":2000000000,"
+                            + "\"overloadFactor\":4.0,\"rampTime\":7400000000,\"stopSendingWithin\":%d000000,"
                             + "\"tipAfter\":1500000000},"
                             + "\"parties\":[{\"name\":\"cycles-moris\",\"portion\":0.5,\"quotaRps\":160.0},"
                             + "{\"name\":\"roue-dor\",\"portion\":0.5,\"quotaRps\":160.0}],"
                             + "\"profiles\":[%s]}",
                     discovery,
                     sidecars,
+                    reportFields.isEmpty() ? "silent" : "piggyback",
+                    reportFields,
                     mayCancel,
+                    graceMs,
                     profiles);
         }
     }
@@ -418,9 +424,16 @@
         private Socket socket;
         private InputStream in;
 
+        private final String tenant;
+
         Caller(InetSocketAddress sidecar, Record record) {
+            this(sidecar, record, "cycles-moris");
+        }
+
+        Caller(InetSocketAddress sidecar, Record record, String tenant) {
             this.sidecar = sidecar;
             this.record = record;
+            this.tenant = tenant;
         }
 
         /** Sends a request and waits for its answer, {@code overtimeMs} longer than the time that the request tells. */
@@ -429,7 +442,7 @@
                 throws IOException {
             SENT_IDS.add(id);
             StringBuilder head = new StringBuilder(method + " " + path + " HTTP/1.1\r\nHost: app.svc\r\nReq-Id: " + id
-                    + "\r\nReq-Kind: " + kind + "\r\nReq-Owner: cycles-moris\r\nReq-Deadline-Ms: " + timeMs + "\r\n");
+                    + "\r\nReq-Kind: " + kind + "\r\nReq-Owner: " + tenant + "\r\nReq-Deadline-Ms: " + timeMs + "\r\n");
             if (key != null) {
                 head.append("Idempotency-Key: ").append(key).append("\r\n");
             }
--- a/review/rig-2/Upstream.java
+++ b/review/rig-2/Upstream.java
@@ -41,7 +41,8 @@
     /**
      * What an upstream does for a request.
      *
-     * @param workMs how long it works, on one of its cores
+     * @param workMs how long it works, on one of its cores; 0 for an answer that needs none
+     * @param status 503 means that the upstream turns the request away without running it
      * @param laterMs for {@link Form#RESET}: how long after the work the reset comes; for {@link Form#TWICE}: how long
      *     after the first answer the second begins
      */
@@ -120,13 +121,8 @@
             return true;
         }
         Plan plan = application.take(this, request);
-        waiting.incrementAndGet();
-        cores.acquire();
-        waiting.decrementAndGet();
-        try {
-            Thread.sleep(plan.workMs);
-        } finally {
-            cores.release();
+        if (plan.workMs > 0) {
+            work(plan.workMs);
         }
         switch (plan.form) {
             case RESET -> {
@@ -167,6 +163,17 @@
         }
     }
 
+    private void work(int workMs) throws InterruptedException {
+        waiting.incrementAndGet();
+        cores.acquire();
+        waiting.decrementAndGet();
+        try {
+            Thread.sleep(workMs);
+        } finally {
+            cores.release();
+        }
+    }
+
     private String load() {
         return "{\"rate\":20.0,\"lat_ms\":40.0,\"fail_rate\":0.0,\"q\":" + waiting.get() + "}";
     }
@@ -175,6 +182,7 @@
         ByteArrayOutputStream whole = new ByteArrayOutputStream();
         byte[] content = Rig.bytes(body);
         whole.write(Rig.bytes("HTTP/1.1 " + status + " -\r\nSrv-Load: " + load() + "\r\n"
+                + (status == 503 ? "Srv-Declined: 1\r\n" : "")
                 + (withLength ? "Content-Length: " + content.length + "\r\n" : "Connection: close\r\n") + "\r\n"));
         whole.write(content);
         synchronized (connection) {
