--- a/review/9/SilentWatches.java
+++ b/review/9/SilentWatches.java
@@ -5,13 +5,13 @@
 import java.util.concurrent.atomic.AtomicIntegerArray;
 
 /**
- * All open watches of a fleet of 24 sidecars fall silent, and right after two of six upstreams begin to drain. Discovery
+ * All open watches of a fleet of 24 sidecars fall silent, and right after two of eight upstreams begin to drain. Discovery
  * works through the new calls in turn, one call of each sidecar in 4 s. No sidecar may send to the draining upstreams
  * when the change counts as told and the grace is over.
  */
 final class SilentWatches {
     private static final int SIDECARS = 24;
-    private static final int UPSTREAMS = 6;
+    private static final int UPSTREAMS = 8;
     private static final int DRAINING = 2;
     /** One call of each sidecar in 4 s; the site file allows 2 to 8 s. */
     private static final int CALL_MS = 4_000 / SIDECARS;
