Review, case 9: let the silence begin when 20 of 24 watches are open

A sidecar with no open watch at that moment is of no use to the case and does it no harm.

Change: the silence begins at the first line at which at least 20 are open.

--- a/review/9/SilentWatches.java
+++ b/review/9/SilentWatches.java
@@ -22,6 +22,9 @@
     private static final int SLACK_MS = 100;
 
     private static final int LIMIT_MS = TOLD_WITHIN_MS + GRACE_MS + SLACK_MS;
+    /** The silence begins when at least so many sidecars have an open watch. */
+    private static final int WATCHES = 20;
+
     private static final int SETTLE_LIMIT_MS = 30_000;
     private static final int AFTER_CHANGE_MS = 11_000;
 
@@ -80,7 +83,7 @@
                 sidecar.awaitReady();
             }
             long settleEnd = System.nanoTime() + SETTLE_LIMIT_MS * 1_000_000L;
-            while (discovery.openWatches() < SIDECARS) {
+            while (discovery.openWatches() < WATCHES) {
                 if (System.nanoTime() > settleEnd) {
                     throw new IllegalStateException("only " + discovery.openWatches() + " watches were opened");
                 }
@@ -94,11 +97,8 @@
                         () -> callWhile(running, sidecars.get(number).address, record, "n" + number + "-", served)));
             }
             Thread.sleep(3_000);
-            if (trouble) {
-                int silent = discovery.silenceAfterNextLine();
-                if (silent < SIDECARS) {
-                    throw new IllegalStateException("only " + silent + " watches were open");
-                }
+            if (trouble && !discovery.silenceAfterLine(WATCHES)) {
+                throw new IllegalStateException("only " + discovery.openWatches() + " watches were open");
             }
             Thread.sleep(50);
             for (int i = 0; i < DRAINING; i++) {
--- a/review/rig-2/Discovery.java
+++ b/review/rig-2/Discovery.java
@@ -67,14 +67,22 @@
         waitMs = newWaitMs;
     }
 
-    /** All open watches fall silent 0.1 s after their next empty line; new ones work. Returns how many. */
-    int silenceAfterNextLine() throws InterruptedException {
-        Thread.sleep(Math.max(0, (nextTick() - System.nanoTime()) / 1_000_000) + 100);
-        synchronized (this) {
-            generation++;
-            record.line(openWatches + " watches fall silent");
-            return openWatches;
+    /**
+     * All open watches fall silent 0.1 s after an empty line, the first at which as many as {@code watches} are open;
+     * new ones work. Returns whether that came within 20 s.
+     */
+    boolean silenceAfterLine(int watches) throws InterruptedException {
+        for (int line = 0; line < 10; line++) {
+            Thread.sleep(Math.max(0, (nextTick() - System.nanoTime()) / 1_000_000) + 100);
+            synchronized (this) {
+                if (openWatches >= watches) {
+                    generation++;
+                    record.line(openWatches + " watches fall silent");
+                    return true;
+                }
+            }
         }
+        return false;
     }
 
     synchronized int openWatches() {
