Refuse a keyed request that may have run only while its key outlasts the client's retry

A 503 promises that a retry is harmless; the client sent the order again after the upstreams had forgotten its key, and it was executed a second time.

Cause: refuseOrFail took every keyed request of scope ALL for safe to retry, however long ago its first attempt that may have run was sent. The client's own retry comes later still: after a wait, and until its own deadline.

Change: such a request is refused only if the key is remembered for the longest wait that a client follows plus the class's deadline; otherwise it fails, which promises nothing.

--- a/src/main/java/pondridge/LoadBalancingPolicy.java
+++ b/src/main/java/pondridge/LoadBalancingPolicy.java
@@ -169,7 +169,7 @@
                 .values()
                 .forEach(call -> timers.schedule(endNanos, firedAt -> {
                     if (!call.streaming) {
-                        tracker.refuseOrFail(call);
+                        tracker.refuseOrFail(firedAt, call);
                     }
                 }));
         timers.armHostTimer();
@@ -415,7 +415,7 @@
             calls.put(request.id(), call);
             timers.schedule(call.deadline, firedAt -> {
                 if (!call.streaming) {
-                    refuseOrFail(call);
+                    refuseOrFail(firedAt, call);
                 }
             });
             return call;
@@ -520,7 +520,7 @@
                     && admission.retryWorthwhile(now, call)) {
                 admission.admit(now, call);
             } else {
-                refuseOrFail(call);
+                refuseOrFail(now, call);
             }
         }
 
@@ -528,15 +528,11 @@
          * Sends the final response: a refusal if a retry by the client is known to be safe, otherwise a
          * failure.
          */
-        void refuseOrFail(Call call) {
+        void refuseOrFail(long now, Call call) {
             if (call.closed) {
                 return;
             }
-            boolean retrySafe = firstThatMayHaveRun(call) == null
-                    || call.requestClass.retrySemantics() == RetrySemantics.REPEATABLE
-                    || call.requestClass.retrySemantics() == RetrySemantics.BY_KEY
-                            && call.requestClass.keyScope() == KeyScope.ALL;
-            if (retrySafe) {
+            if (clientRetryIsSafe(now, call)) {
                 actions.refuse(call.request.id(), admission.retryAfterNanos(call));
             } else {
                 actions.fail(call.request.id());
@@ -544,6 +540,28 @@
             close(call, false);
         }
 
+        /**
+         * Whether the client may send the request again without a second effect. A key must be remembered for as long
+         * as the client's retry can still reach an upstream: it may wait before the retry, and the retry may be queued
+         * or sent again until its own deadline.
+         */
+        private boolean clientRetryIsSafe(long now, Call call) {
+            Attempt uncertain = firstThatMayHaveRun(call);
+            if (uncertain == null) {
+                return true;
+            }
+            return switch (call.requestClass.retrySemantics()) {
+                case REPEATABLE -> true;
+                case ONCE -> false;
+                case BY_KEY -> {
+                    long latestRetryAt =
+                            now + settings.capabilities().maxRetryAfterNanos() + call.requestClass.deadlineNanos();
+                    yield call.requestClass.keyScope() == KeyScope.ALL
+                            && latestRetryAt < uncertain.sentAt + call.requestClass.keyTtlNanos();
+                }
+            };
+        }
+
         /** Closes a request; nothing more is sent for it. Its outstanding attempt still counts as in flight. */
         void close(Call call, boolean succeeded) {
             if (!call.closed && !succeeded) {
@@ -1197,7 +1215,7 @@
         /** Sends a request now, or queues it while it can still be served within its SLO. */
         void admit(long now, Call call) {
             if (now >= call.deadline || serverList.readyServers.isEmpty()) {
-                tracker.refuseOrFail(call);
+                tracker.refuseOrFail(now, call);
                 return;
             }
             int shedMultiplier = call.request.clientRetry() ? 3 : 1;
@@ -1205,7 +1223,7 @@
                 double draw = random.nextDouble();
                 double shedFraction = shedFraction(now, call);
                 if (draw < shedMultiplier * shedFraction) {
-                    tracker.refuseOrFail(call);
+                    tracker.refuseOrFail(now, call);
                     return;
                 }
                 call.samplingWeight = 1 / (1 - Math.min(MAX_SHED_FRACTION, shedFraction));
@@ -1214,7 +1232,7 @@
                 return;
             }
             if (call.attempts.isEmpty() && now + call.minRemainingNanos >= call.sloDeadline) {
-                tracker.refuseOrFail(call); // a retry or a request with a short timeout, unlikely to be on time
+                tracker.refuseOrFail(now, call); // a retry or a request with a short timeout, unlikely to be on time
             } else if (queuedCount > 0 || !dispatch(now, call)) {
                 call.queued = true;
                 tenantQueue(call).calls.push(call);
@@ -1222,7 +1240,7 @@
                 long latestStart = call.sloDeadline - (long) (Call.ON_TIME_MARGIN * call.expectedNanos);
                 timers.schedule(Math.max(now + 1, latestStart), firedAt -> {
                     if (call.queued) {
-                        tracker.refuseOrFail(call);
+                        tracker.refuseOrFail(firedAt, call);
                     }
                 });
                 drainQueues(now);
@@ -1416,7 +1434,7 @@
             if (fewest == Double.MAX_VALUE) {
                 call.probedServers = List.of();
             } else if (fewest > Math.max(meanInFlight, fullInFlight)) {
-                tracker.refuseOrFail(call);
+                tracker.refuseOrFail(now, call);
                 return;
             }
             call.maxReportedInFlight = fewest <= meanInFlight ? meanInFlight : fullInFlight;
