Tie the timer of a discovery switch to that switch, and count its time from the configuration

Cause: switchTo set a timer that ended the wait of whichever switch was pending 2 s later. Left running, it closed the call of a later switch before a slow service could answer it, again and again. Three related faults: a refused fetch left the switch waiting for that timer; the balancer was not told of the call that a switch makes, so the retry of an earlier failure replaced it; and its time of 6 s was counted from the new call's failure, not from the configuration.

Change: one timer, which belongs to the pending switch, isn't prolonged by further configurations and is cancelled with it. A call gets 2.2 s (services hold one for 2 s). The last pending call's end, however it ends, makes the switch. The balancer gets an event: earlier failures no longer count, earlier retries are void, and pauses fit into 6 s from the configuration.

With over 8 sidecars a call in vain right after a wait of 2.2 s for an old service can still take longer than 6 s: pauses after a wait in vain stay long there, since all sidecars of a crowd would call at once.

--- a/src/main/java/pondridge/Balancer.java
+++ b/src/main/java/pondridge/Balancer.java
@@ -347,6 +347,14 @@
         endpointListChanged(now, EndpointListKind.FAILED, List.of());
     }
 
+    /**
+     * The host has switched to another discovery service and calls it now. Failures of earlier calls do not count any
+     * more, and timers that were set for them must not replace this call.
+     *
+     * @param staleNanos how long ago the switch was requested: since then changes may have been missed
+     */
+    default void discoverySwitched(long now, long staleNanos) {}
+
     /** A client's request has arrived. */
     void requestArrived(long now, Request request);
 
--- a/src/main/java/pondridge/DiscoveryCallSchedule.java
+++ b/src/main/java/pondridge/DiscoveryCallSchedule.java
@@ -76,7 +76,7 @@
     private long refusedAt = NEVER;
     /** Whether a call has waited in vain since a change may have been missed. */
     private boolean waitedInVain;
-    /** Whether the watch has fallen silent, which took time to notice. */
+    /** Whether time had passed before the first call: a silent watch took time to notice, or a switch to be made. */
     private boolean silent;
 
     DiscoveryCallSchedule(int replicaCount, long drainGraceNanos) {
@@ -103,6 +103,22 @@
         callStartedAt = now;
     }
 
+    /**
+     * A call to another service begins, which replaces the one before. Its changes have to be received within the same
+     * time, counted from the request for the switch.
+     *
+     * @param staleNanos how long ago the switch was requested
+     */
+    void serviceSwitched(long now, long staleNanos) {
+        callStarted(now);
+        staleSince = now - staleNanos;
+        silent = staleNanos > 0;
+        responded = false;
+        failing = false;
+        waitedInVain = false;
+        refusedAt = NEVER;
+    }
+
     /** Discovery has answered a call; its watch is open. */
     void responseReceived() {
         responded = true;
--- a/src/main/java/pondridge/LoadBalancingPolicy.java
+++ b/src/main/java/pondridge/LoadBalancingPolicy.java
@@ -71,6 +71,12 @@
         timers.armHostTimer();
     }
 
+    @Override
+    public void discoverySwitched(long now, long staleNanos) {
+        serverList.discoverySwitched(now, staleNanos);
+        timers.armHostTimer();
+    }
+
     @Override
     public void requestArrived(long now, Request request) {
         if (request.requestClass() >= settings.classes().size()) {
@@ -663,6 +669,14 @@
             }
         }
 
+        void discoverySwitched(long now, long staleNanos) {
+            if (settings.discoveryMode() == DiscoveryMode.SUBSCRIBE) {
+                subscriptionBroken = false;
+                callSchedule.serviceSwitched(now, staleNanos);
+                scheduleSubscribe(now + SUBSCRIBE_TIMEOUT_NANOS);
+            }
+        }
+
         void listChanged(long now, EndpointListKind kind, List<Upstream> entries) {
             if (kind == EndpointListKind.FAILED) {
                 callFailed(now, 0);
--- a/src/main/java/pondridge/core/Engine.java
+++ b/src/main/java/pondridge/core/Engine.java
@@ -423,6 +423,15 @@
         });
     }
 
+    /**
+     * Discovery has switched to another service and calls it now.
+     *
+     * @param staleNanos how long ago the switch was requested
+     */
+    public void discoverySwitched(long staleNanos) {
+        dispatch(now -> balancer.discoverySwitched(now, staleNanos));
+    }
+
     @Override
     public long submit(Job job, Client client) {
         requestCount++;
--- a/src/main/java/pondridge/platform/DiscoveryClient.java
+++ b/src/main/java/pondridge/platform/DiscoveryClient.java
@@ -29,6 +29,7 @@
 import java.util.Set;
 import java.util.concurrent.TimeUnit;
 import java.util.function.BiConsumer;
+import java.util.function.LongConsumer;
 import pondridge.Balancer.EndpointListKind;
 import pondridge.Balancer.UpstreamState;
 import pondridge.core.EndpointDiscovery;
@@ -62,8 +63,11 @@
 
     private static final long AGENT_RETRY_DELAY_MS = 100;
     private static final int CONNECT_TIMEOUT_MS = 1_000;
-    /** The list of a new service counts as received 4 s after its address is configured; a call may take 2 s. */
-    private static final long ADDRESS_SWITCH_TIMEOUT_MS = 2_000;
+    /**
+     * How long a switch to another service waits for an open call. Calls may be held for 2 s, and an open call began
+     * before the switch was requested, so one that is still open then gets no response.
+     */
+    private static final long ADDRESS_SWITCH_TIMEOUT_MS = 2_200;
 
     private static final int MAX_OBJECT_BYTES = 4 << 20;
 
@@ -126,7 +130,12 @@
     private boolean fullListPending;
     /** The address to switch to once no call waits for its first response; null if no switch is pending. */
     private InetSocketAddress nextAddress;
+    /** Ends the wait of the pending switch; null if no switch is pending. */
+    private Future<?> switchTimer;
+    /** When the pending switch was first requested, in nanoseconds. */
+    private long switchRequestedAt;
 
+    private LongConsumer switchListener = staleNanos -> {};
     private boolean watchRequested;
     /** Whether the failure that is being reported is that of a watch that has fallen silent. */
     private boolean watchSilent;
@@ -166,6 +175,14 @@
         this.requestLog = requestLog;
     }
 
+    /**
+     * Sets the listener for switches to another service whose watch is being opened. It receives how long ago the
+     * switch was requested, in nanoseconds: since then changes that the new service knows may have been missed.
+     */
+    public void setSwitchListener(LongConsumer switchListener) {
+        this.switchListener = switchListener;
+    }
+
     /** Starts watching if lists are pushed; otherwise does nothing, since the balancer requests the watch. */
     public void startIfPushed() {
         if (pushed) {
@@ -198,29 +215,45 @@
      * Switches to another discovery service and requests its full list, since its revisions need not continue
      * those of the old one. Responses of the old service after the switch are ignored. The switch is delayed
      * for a bounded time while a call waits for its first response: closing the call would lose its position in
-     * the service's queue, and the call that replaces it may be refused for seconds.
+     * the service's queue, and the call that replaces it may be refused for seconds. Further requests meanwhile
+     * change where the switch leads, but do not prolong its delay.
      */
     public void switchTo(InetSocketAddress newAddress) {
-        nextAddress = newAddress.equals(address) ? null : newAddress;
-        if (nextAddress != null) {
-            switchUnlessCallPending();
-            loop.schedule(this::switchNow, ADDRESS_SWITCH_TIMEOUT_MS, TimeUnit.MILLISECONDS);
+        if (newAddress.equals(address)) {
+            endPendingSwitch();
+            return;
+        }
+        if (nextAddress == null) {
+            switchRequestedAt = System.nanoTime();
+            switchTimer = loop.schedule(this::switchNow, ADDRESS_SWITCH_TIMEOUT_MS, TimeUnit.MILLISECONDS);
+        }
+        nextAddress = newAddress;
+        switchUnlessCallPending();
+    }
+
+    private void endPendingSwitch() {
+        nextAddress = null;
+        if (switchTimer != null) {
+            // Left running, it would end the wait of the next switch.
+            switchTimer.cancel(false);
+            switchTimer = null;
         }
     }
 
     private void switchUnlessCallPending() {
-        if (openCalls.stream().allMatch(call -> call.responded)) {
+        if (nextAddress != null && allCallsResponded()) {
             switchNow();
         }
     }
 
+    private boolean allCallsResponded() {
+        return openCalls.stream().allMatch(call -> call.responded);
+    }
+
     /** Closes all open calls and repeats them at the new address. */
     private void switchNow() {
-        if (nextAddress == null) {
-            return;
-        }
         address = nextAddress;
-        nextAddress = null;
+        endPendingSwitch();
         revision = 0;
         fullListPending = true;
         int openFetches = 0;
@@ -233,6 +266,9 @@
         for (int i = 0; i < openFetches; i++) {
             fetch();
         }
+        if (watchRequested) {
+            switchListener.accept(System.nanoTime() - switchRequestedAt);
+        }
     }
 
     @Override
@@ -381,8 +417,8 @@
             if (!closed) {
                 requestLog.discoveryCallFailed(watching, reason);
                 close();
-                if (nextAddress != null && watch == this) {
-                    // The watch is replaced at once by one at the new service, so this is not a failure.
+                if (nextAddress != null && (watch == this || allCallsResponded())) {
+                    // The calls are repeated at once at the new service, so this is not a failure.
                     switchNow();
                     return;
                 }
--- a/src/main/java/pondridge/sidecar/Main.java
+++ b/src/main/java/pondridge/sidecar/Main.java
@@ -165,6 +165,7 @@
                 config.isDiscoveryPushed(),
                 config.cachedEndpoints().revision(),
                 engine::updateEndpoints);
+        discovery.setSwitchListener(engine::discoverySwitched);
         Frontend frontend = new Frontend(engine, config.options(), config.maxClientConnections(), budgets);
         RequestLog requestLog = RequestLog.fromEnvironment();
         engine.setRequestLog(requestLog);
--- a/src/test/java/pondridge/DiscoverySubscriptionTest.java
+++ b/src/test/java/pondridge/DiscoverySubscriptionTest.java
@@ -290,6 +290,48 @@
         }
     }
 
+    /**
+     * Guards against drains noticed too late after a new configuration: the wait for an open call to the old service, a
+     * call in vain to the new one and the pauses added up, counted from the failure and not from the configuration.
+     */
+    @Test
+    void aSwitchAndACallInVainFitIntoSixSecondsAndTheGrace() {
+        long grace = 500 * MS;
+        for (int replicas : new int[] {1, 3, 8, 100}) {
+            // With many sidecars a wait in vain shortens no pause, since all of them would call again at once.
+            for (long staleNanos : replicas > 8 ? List.of(0L) : List.of(0L, 2_200 * MS)) {
+                for (int seed = 0; seed < 200; seed++) {
+                    RecordingHost host = new RecordingHost(settings(10 * SECOND, grace, replicas), seed);
+                    host.policy.endpointListChanged(host.now, EndpointListKind.DELTA, List.of());
+                    host.advance(10 * SECOND);
+                    long requestedAt = host.now - staleNanos;
+                    host.policy.discoverySwitched(host.now, staleNanos);
+                    host.subscribeCalls = 1;
+                    long received = answeredAt(host, Chain.WAIT_IN_VAIN) - requestedAt;
+                    assertTrue(
+                            received <= 6 * SECOND + grace,
+                            replicas + " sidecars, stale for " + staleNanos / MS + " ms, seed " + seed
+                                    + ": received after " + received / MS + " ms");
+                }
+            }
+        }
+    }
+
+    /** A retry that was scheduled before a switch must not replace the call that the switch has made. */
+    @Test
+    void aSwitchReplacesTheScheduledRetry() {
+        RecordingHost host = new RecordingHost(settings(10 * SECOND, 2 * SECOND, 100), 7);
+        host.policy.endpointListChanged(host.now, EndpointListKind.DELTA, List.of());
+        host.advance(10 * SECOND);
+        host.policy.discoveryCallFailed(host.now, 0);
+        host.policy.discoverySwitched(host.now, 0);
+        host.subscribeCalls = 0;
+        host.advance(SECOND);
+        host.policy.endpointListChanged(host.now, EndpointListKind.FULL, List.of());
+        host.advance(60 * SECOND);
+        assertEquals(0, host.subscribeCalls, "the call of the switch was answered");
+    }
+
     /**
      * All subscriptions break at once and all calls are rejected at once, which is the worst case. Checks the calls
      * in each tenth of a second and the calls of each sidecar.
--- a/src/test/java/pondridge/LoadBalancingPolicyTest.java
+++ b/src/test/java/pondridge/LoadBalancingPolicyTest.java
@@ -237,15 +237,7 @@
     /** The final response to a keyed request whose only attempt is reset after this time. */
     private static List<String> responseAfterReset(long elapsed, long keyTtl) {
         Balancer.RequestClass requestClass = new Balancer.RequestClass(
-                500 * MS,
-                0,
-                1_000 * MS,
-                1,
-                0,
-                Balancer.RetrySemantics.BY_KEY,
-                Balancer.KeyScope.ALL,
-                keyTtl,
-                false);
+                500 * MS, 0, 1_000 * MS, 1, 0, Balancer.RetrySemantics.BY_KEY, Balancer.KeyScope.ALL, keyTtl, false);
         RecordingHost host = host(requestClass).withUpstreams(1);
         host.request(1, 0);
         host.advance(elapsed);
--- a/src/test/java/pondridge/sidecar/DiscoveryClientTest.java
+++ b/src/test/java/pondridge/sidecar/DiscoveryClientTest.java
@@ -6,9 +6,11 @@
 import io.netty.channel.EventLoop;
 import io.netty.channel.MultiThreadIoEventLoopGroup;
 import io.netty.channel.nio.NioIoHandler;
+import java.io.IOException;
 import java.util.ArrayList;
 import java.util.List;
 import java.util.concurrent.BlockingQueue;
+import java.util.concurrent.CopyOnWriteArrayList;
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.LinkedBlockingQueue;
 import java.util.concurrent.TimeUnit;
@@ -208,6 +210,80 @@
         }
     }
 
+    /**
+     * Guards against drains that are never noticed while new configurations arrive in a row: the timer of an earlier
+     * switch closed each later call before a slow service could answer it.
+     */
+    @Test
+    void callsAreAnsweredWhileNewConfigurationsArriveInARow() throws Exception {
+        StubServer.Script slowList = (socket, head) -> {
+            loop.schedule(
+                    () -> {
+                        try {
+                            StubServer.write(socket, CHUNKED + chunk("{\"rev\":3,\"all\":true,\"targets\":[]}\n"));
+                        } catch (IOException e) {
+                            // The call was closed.
+                        }
+                    },
+                    800,
+                    TimeUnit.MILLISECONDS);
+            return true;
+        };
+        try (StubServer first = new StubServer(slowList);
+                StubServer second = new StubServer(slowList);
+                StubServer third = new StubServer(slowList)) {
+            List<StubServer> services = List.of(first, second, third);
+            DiscoveryClient discovery = discovery(first);
+            AtomicInteger moves = new AtomicInteger();
+            loop.execute(() -> discovery.watch(true));
+            loop.scheduleAtFixedRate(
+                    () -> discovery.switchTo(services.get(moves.incrementAndGet() % services.size())
+                            .address()),
+                    300,
+                    400,
+                    TimeUnit.MILLISECONDS);
+            for (int i = 0; i < 5; i++) {
+                assertEquals(EndpointListKind.FULL, StubServer.awaitNext(events).kind, "list " + i);
+            }
+        }
+    }
+
+    /** A refused fetch ends the wait of a switch, too: otherwise the new service is called two seconds later. */
+    @Test
+    void aSwitchTakesPlaceOnceTheLastPendingCallHasFailed() throws Exception {
+        CountDownLatch configured = new CountDownLatch(1);
+        try (StubServer oldService = new StubServer((socket, head) -> {
+                    if (head.contains("watch=1")) {
+                        StubServer.write(socket, CHUNKED + chunk("\n"));
+                        return true;
+                    }
+                    return StubServer.await(configured) && StubServer.reply(socket, "503 No", "", "");
+                });
+                StubServer newService = new StubServer((socket, head) -> true)) {
+            DiscoveryClient discovery = discovery(oldService);
+            List<Long> staleNanos = new CopyOnWriteArrayList<>();
+            loop.submit(() -> discovery.setSwitchListener(staleNanos::add)).sync();
+            loop.execute(() -> discovery.watch(true));
+            assertEquals(EndpointListKind.DELTA, StubServer.awaitNext(events).kind);
+            loop.execute(discovery::fetch);
+            StubServer.awaitNext(oldService.requestHeads);
+            StubServer.awaitNext(oldService.requestHeads);
+            loop.submit(() -> discovery.switchTo(newService.address())).sync();
+            assertEquals(List.of(), staleNanos, "the fetch is pending");
+            loop.execute(() -> {
+                configured.countDown();
+                loop.schedule(
+                        () -> events.add(new ListEvent(EndpointListKind.CACHED, List.of())),
+                        1_500,
+                        TimeUnit.MILLISECONDS);
+            });
+            assertTrue(StubServer.awaitNext(newService.requestHeads).contains("from=0 "));
+            assertEquals(0, events.size(), "before 1.5 s are over, and no failure");
+            loop.submit(() -> {}).sync();
+            assertEquals(1, staleNanos.size());
+        }
+    }
+
     /** Requesting a watch again does not replace one that still waits for its first response. */
     @Test
     void aWatchWithoutAFirstResponseIsNotReplaced() throws Exception {
--- a/src/test/java/pondridge/sidecar/SidecarFixture.java
+++ b/src/test/java/pondridge/sidecar/SidecarFixture.java
@@ -64,6 +64,7 @@
                 config.isDiscoveryPushed(),
                 config.cachedEndpoints().revision(),
                 engine::updateEndpoints);
+        discovery.setSwitchListener(engine::discoverySwitched);
         frontend = new Frontend(engine, config.options(), MAX_OPEN);
         loop.submit(() -> engine.start(discovery, config.cachedEndpoints().targets()))
                 .sync();
