Count attempts for an earlier request with the same idempotency key like the request's own

Callers could see: an order executed twice after a failure. The sidecar took it for a request of which nothing had been sent: it went to servers of another cell or zone, was queued or sent again after the window, and was refused ("a retry is harmless") though the earlier attempt may have run.

Cause: what an attempt may have done was remembered by request id alone.

Requests that the engine itself turns away fail then, too.

Measured: aRequestWithTheKeyOfAnEarlierAttemptStaysWithTheServersThatKnowTheKey and attemptsOfAnEarlierRequestWithTheSameKeyCount pass; that they fail before follows from the old code having no such input and was not run. LoadBalancingPolicyTest, RandomEventsTest, SidecarTest, gateway's and gRPC's classes pass.

--- a/src/main/java/pondridge/Balancer.java
+++ b/src/main/java/pondridge/Balancer.java
@@ -264,6 +264,14 @@
         }
     }
 
+    /**
+     * An attempt for an earlier request with the same idempotency key, which may have been executed.
+     *
+     * @param upstream where it was sent
+     * @param sentAtNanos when it was sent
+     */
+    record PriorAttempt(long upstream, long sentAtNanos) {}
+
     /**
      * A client's request.
      *
@@ -273,6 +281,8 @@
      * @param clientTimeoutNanos time until the client abandons this try, in nanoseconds
      * @param costHintNanos estimated work in nanoseconds; 0 if unknown
      * @param clientRetry the client marked it as a retry
+     * @param priorAttempt for BY_KEY: the first attempt with its key, in an earlier request, that upstreams may still
+     *     remember; null if none is known
      */
     record Request(
             long id,
@@ -282,7 +292,21 @@
             long clientTimeoutNanos,
             long costHintNanos,
             boolean clientRetry,
-            boolean write) {}
+            boolean write,
+            PriorAttempt priorAttempt) {
+        /** Creates a request of which no earlier attempt is known. */
+        public Request(
+                long id,
+                int requestClass,
+                int tenant,
+                long resourceKey,
+                long clientTimeoutNanos,
+                long costHintNanos,
+                boolean clientRetry,
+                boolean write) {
+            this(id, requestClass, tenant, resourceKey, clientTimeoutNanos, costHintNanos, clientRetry, write, null);
+        }
+    }
 
     /** Actions issued by an instance. The host executes each at the time of the event being handled. */
     interface Actions {
--- a/src/main/java/pondridge/LoadBalancingPolicy.java
+++ b/src/main/java/pondridge/LoadBalancingPolicy.java
@@ -208,7 +208,7 @@
          * is eligible.
          */
         Server pick(long now, Call call, boolean ignoreHealth) {
-            if (!call.attempts.isEmpty() && !tracker.mayRetry(now, call)) {
+            if (tracker.isRepeat(call) && !tracker.mayRetry(now, call)) {
                 return null;
             }
             Server current = null;
@@ -335,17 +335,28 @@
         final long sentAt;
         final int inFlightAtSend;
         final double reportedInFlightAtSend;
+        /** This attempt, as long as {@link #mayHaveRun}. */
+        final UncertainAttempt uncertainAttempt;
+
         boolean outstanding = true;
         boolean mayHaveRun = true;
 
         Attempt(Server server, long sentAt) {
             this.server = server;
             this.sentAt = sentAt;
+            this.uncertainAttempt = new UncertainAttempt(server, sentAt);
             this.inFlightAtSend = server.inFlight;
             this.reportedInFlightAtSend = server.reportedInFlight++;
         }
     }
 
+    /**
+     * An attempt that may have run.
+     *
+     * @param server null if it was never listed here
+     */
+    private record UncertainAttempt(Server server, long sentAt) {}
+
     private static final class Call {
         /**
          * Multiple of the expected response time. A request that stays queued until less time remains is late
@@ -359,6 +370,9 @@
         final long sloNanos;
         final long sloDeadline;
         final List<Attempt> attempts = new ArrayList<>(2);
+        /** The attempt for an earlier request with the same key; null if there is none. */
+        final UncertainAttempt priorAttempt;
+
         boolean closed;
         boolean queued;
         boolean streaming;
@@ -374,8 +388,14 @@
 
         boolean countedAsCompleted;
 
-        Call(Request request, RequestClass requestClass, long now, long elapsedOnEarlierTries) {
+        Call(
+                Request request,
+                RequestClass requestClass,
+                UncertainAttempt priorAttempt,
+                long now,
+                long elapsedOnEarlierTries) {
             this.request = request;
+            this.priorAttempt = priorAttempt;
             this.requestClass = requestClass;
             this.deadline = now + request.clientTimeoutNanos();
             double stretchedSloNanos = requestClass.sloNanos() + requestClass.sloWorkFactor() * request.costHintNanos();
@@ -399,6 +419,7 @@
             Call call = new Call(
                     request,
                     settings.classes().get(request.requestClass()),
+                    priorAttempt(request),
                     now,
                     admission.elapsedOnEarlierTries(now, request));
             // Bounded below: with an expected time of zero, timers set one expected time apart would never
@@ -427,16 +448,40 @@
             return call;
         }
 
+        private UncertainAttempt priorAttempt(Request request) {
+            PriorAttempt prior = request.priorAttempt();
+            if (prior == null) {
+                return null;
+            }
+            Server server = serverList.servers.get(prior.upstream());
+            return new UncertainAttempt(server, prior.sentAtNanos());
+        }
+
         /** Returns the first attempt that may have run, or null if every attempt is proven not to have run. */
-        private Attempt firstThatMayHaveRun(Call call) {
+        private UncertainAttempt firstThatMayHaveRun(Call call) {
+            if (call.priorAttempt != null) {
+                return call.priorAttempt;
+            }
             for (Attempt attempt : call.attempts) {
                 if (attempt.mayHaveRun) {
-                    return attempt;
+                    return attempt.uncertainAttempt;
                 }
             }
             return null;
         }
 
+        /** Whether the next attempt is not the first one for this request, or for an earlier one with the same key. */
+        boolean isRepeat(Call call) {
+            return !call.attempts.isEmpty() || call.priorAttempt != null;
+        }
+
+        /** Whether the next attempt is allowed now on some ready server. */
+        boolean mayAttemptNow(long now, Call call) {
+            return !isRepeat(call)
+                    || mayRetry(now, call)
+                            && serverList.readyServers.stream().anyMatch(next -> mayAttemptOn(call, next));
+        }
+
         /** Whether another attempt is allowed now, on whichever server. */
         boolean mayRetry(long now, Call call) {
             if (call.closed
@@ -446,7 +491,7 @@
                     || call.attempts.size() >= settings.capabilities().maxAttempts()) {
                 return false;
             }
-            Attempt uncertain = firstThatMayHaveRun(call);
+            UncertainAttempt uncertain = firstThatMayHaveRun(call);
             return uncertain == null
                     || switch (call.requestClass.retrySemantics()) {
                         case REPEATABLE -> true;
@@ -465,15 +510,15 @@
                     return false;
                 }
             }
-            Attempt uncertain = firstThatMayHaveRun(call);
+            UncertainAttempt uncertain = firstThatMayHaveRun(call);
             if (uncertain == null || call.requestClass.retrySemantics() != RetrySemantics.BY_KEY) {
                 return true;
             }
-            Upstream firstUpstream = uncertain.server.entry;
+            Server first = uncertain.server;
             return switch (call.requestClass.keyScope()) {
                 case ALL -> true;
-                case ZONE -> firstUpstream.zone() == server.entry.zone();
-                case CELL -> firstUpstream.cell() == server.entry.cell();
+                case ZONE -> first != null && first.entry.zone() == server.entry.zone();
+                case CELL -> first != null && first.entry.cell() == server.entry.cell();
             };
         }
 
@@ -521,9 +566,7 @@
                 return;
             }
             // Without an untried server, a request queued for a retry would never be sent.
-            if (mayRetry(now, call)
-                    && serverList.readyServers.stream().anyMatch(next -> mayAttemptOn(call, next))
-                    && admission.retryWorthwhile(now, call)) {
+            if (mayAttemptNow(now, call) && admission.retryWorthwhile(now, call)) {
                 admission.admit(now, call);
             } else {
                 refuseOrFail(now, call);
@@ -552,7 +595,7 @@
          * or sent again until its own deadline.
          */
         private boolean clientRetryIsSafe(long now, Call call) {
-            Attempt uncertain = firstThatMayHaveRun(call);
+            UncertainAttempt uncertain = firstThatMayHaveRun(call);
             if (uncertain == null) {
                 return true;
             }
@@ -1228,7 +1271,7 @@
 
         /** Sends a request now, or queues it while it can still be served within its SLO. */
         void admit(long now, Call call) {
-            if (now >= call.deadline || serverList.readyServers.isEmpty()) {
+            if (now >= call.deadline || serverList.readyServers.isEmpty() || !tracker.mayAttemptNow(now, call)) {
                 tracker.refuseOrFail(now, call);
                 return;
             }
--- a/src/main/java/pondridge/core/Engine.java
+++ b/src/main/java/pondridge/core/Engine.java
@@ -50,6 +50,11 @@
     private static final class OpenRequest {
         private final Job job;
         private final Client client;
+        /** Its key in the history of attempts; null if its class has none. */
+        private final String historyKey;
+        /** The attempt for an earlier request with the same key; null if there is none. */
+        private final KeyedAttemptHistory.SentAttempt<Long> priorAttempt;
+
         private long deadline;
         private final List<Transport.Attempt> attempts = new ArrayList<>(1);
         private Future<?> timer;
@@ -65,9 +70,19 @@
 
         private boolean closed;
 
-        OpenRequest(Job job, Client client) {
+        OpenRequest(Job job, Client client, String historyKey, KeyedAttemptHistory.SentAttempt<Long> priorAttempt) {
             this.job = job;
             this.client = client;
+            this.historyKey = historyKey;
+            this.priorAttempt = priorAttempt;
+            if (priorAttempt != null) {
+                mayHaveRun = true;
+                mayHaveRunSince = priorAttempt.sentAt();
+            }
+        }
+
+        private Balancer.PriorAttempt priorAttempt() {
+            return priorAttempt == null ? null : new Balancer.PriorAttempt(priorAttempt.place(), priorAttempt.sentAt());
         }
 
         private void recordOutcome(Outcome outcome, long sentAt) {
@@ -115,6 +130,9 @@
         /** From this time on the attempt must not be written any more. */
         private final long writeDeadline;
 
+        /** Its entry in the history of attempts; null if its class has no keys. */
+        private KeyedAttemptHistory.SentAttempt<Long> historyEntry;
+
         private Future<?> withdrawTimer;
         private boolean ended;
 
@@ -131,6 +149,10 @@
         }
 
         void start(long timeoutNanos) {
+            if (request.historyKey != null) {
+                long keyTtlNanos = classes.get(request.job.requestClass()).keyTtlNanos();
+                historyEntry = keyedAttempts.record(request.historyKey, upstream, sentAt, keyTtlNanos);
+            }
             request.attempts.set(number, transport.send(upstream, request.job, timeoutNanos, this));
             // A connection may take longer to establish than servers remember the idempotency key.
             if (writeDeadline < request.deadline) {
@@ -192,6 +214,7 @@
     private final ArrayDeque<Runnable> deferredRequests = new ArrayDeque<>(1);
 
     private boolean checkingClient;
+    private final KeyedAttemptHistory<Long> keyedAttempts = new KeyedAttemptHistory<>();
 
     /**
      * Creates an engine with its own balancer.
@@ -435,9 +458,11 @@
     @Override
     public long submit(Job job, Client client) {
         requestCount++;
+        String historyKey = historyKey(job);
+        KeyedAttemptHistory.SentAttempt<Long> priorAttempt =
+                historyKey == null ? null : keyedAttempts.first(historyKey, now());
         if (openRequests.size() >= maxOpenRequests) {
-            client.reportAttempts(new AttemptSummary(0, 0, false));
-            client.refused(0);
+            rejectUnsubmitted(client, priorAttempt != null);
             return 0;
         }
         long id = ++lastRequestId;
@@ -450,11 +475,10 @@
                     EventCounters.Kind.REQUEST_EXPIRED,
                     () -> String.valueOf(job.headers().get("Req-Id")));
             log.responseSent(id, "refused: no time left when read");
-            client.reportAttempts(new AttemptSummary(0, 0, false));
-            client.refused(0);
+            rejectUnsubmitted(client, priorAttempt != null);
             return 0;
         }
-        OpenRequest request = new OpenRequest(job, client);
+        OpenRequest request = new OpenRequest(job, client, historyKey, priorAttempt);
         request.deadline = receivedAt + timeLeftNanos;
         openRequests.put(id, request);
         // The balancer responds by its own deadline; this timer covers requests that it missed.
@@ -479,6 +503,22 @@
         return id;
     }
 
+    private String historyKey(Job job) {
+        return classes.get(job.requestClass()).retrySemantics() == RetrySemantics.BY_KEY
+                ? job.requestClass() + "/" + job.headers().get(JobReader.IDEMPOTENCY_KEY_HEADER)
+                : null;
+    }
+
+    /** Responds to a request that the balancer does not get. A refusal would promise that a retry is harmless. */
+    private static void rejectUnsubmitted(Client client, boolean mayHaveRun) {
+        client.reportAttempts(new AttemptSummary(0, 0, mayHaveRun));
+        if (mayHaveRun) {
+            client.failed();
+        } else {
+            client.refused(0);
+        }
+    }
+
     private void passDeferredRequests() {
         // Requests that arrive meanwhile wait for the next turn.
         List<Runnable> requests = List.copyOf(deferredRequests);
@@ -508,7 +548,8 @@
                             Math.max(1, request.deadline - now),
                             job.costHintNanos(),
                             job.clientRetry(),
-                            !job.method().equals(HttpMethod.GET)));
+                            !job.method().equals(HttpMethod.GET),
+                            request.priorAttempt()));
         });
     }
 
@@ -609,6 +650,9 @@
             long elapsed = now - attempt.sentAt;
             log.attemptEnded(attempt.requestId, attempt.number, namesForLog.get(attempt.upstream), outcome, elapsed);
             request.recordOutcome(outcome, attempt.sentAt);
+            if (attempt.historyEntry != null && outcome.provesNotExecuted()) {
+                keyedAttempts.removeNotExecuted(request.historyKey, attempt.historyEntry);
+            }
             if (request.clientGone && !request.closed) {
                 request.close();
                 balancer.clientDisconnected(now, attempt.requestId);
--- a/src/main/java/pondridge/gateway/AttemptHistory.java
+++ b/src/main/java/pondridge/gateway/AttemptHistory.java
@@ -26,6 +26,7 @@
     private final int requestClass;
     private final boolean fromLink;
     private final long affinityKey;
+    private final UncertainAttempt priorAttempt;
     private int waitCount;
 
     /**
@@ -35,6 +36,16 @@
      * @param affinityKey stays the same when the client repeats its request
      */
     AttemptHistory(int requestClass, boolean fromLink, long affinityKey) {
+        this(requestClass, fromLink, affinityKey, null);
+    }
+
+    /**
+     * A request without attempts of its own.
+     *
+     * @param priorAttempt the attempt for an earlier request with the same idempotency key; null if there is none
+     */
+    AttemptHistory(int requestClass, boolean fromLink, long affinityKey, UncertainAttempt priorAttempt) {
+        this.priorAttempt = priorAttempt;
         this.requestClass = requestClass;
         this.fromLink = fromLink;
         this.affinityKey = affinityKey;
@@ -91,6 +102,9 @@
      * have.
      */
     UncertainAttempt firstUncertain() {
+        if (priorAttempt != null) {
+            return priorAttempt;
+        }
         for (Attempt each : attempts) {
             if (!each.provenNotExecuted) {
                 return new UncertainAttempt(each.site, each.sentAt);
--- a/src/main/java/pondridge/gateway/Dispatcher.java
+++ b/src/main/java/pondridge/gateway/Dispatcher.java
@@ -7,11 +7,13 @@
 import java.util.concurrent.TimeUnit;
 import java.util.function.LongSupplier;
 import pondridge.Balancer.RequestClass;
+import pondridge.Balancer.RetrySemantics;
 import pondridge.core.AttemptSummary;
 import pondridge.core.Client;
 import pondridge.core.Engine;
 import pondridge.core.Job;
 import pondridge.core.JobReader;
+import pondridge.core.KeyedAttemptHistory;
 import pondridge.core.RequestProcessor;
 import pondridge.core.UpstreamResponse;
 
@@ -44,6 +46,7 @@
     private final long maxDeliveryNanos;
     private final LongSupplier clock;
     private final Map<Long, RoutedRequest> openRequests = new HashMap<>();
+    private final KeyedAttemptHistory<String> keyedAttempts = new KeyedAttemptHistory<>();
     private final Counts counts = new Counts();
     private final Log log;
     private final LocalSloMonitor sloMonitor = new LocalSloMonitor();
@@ -164,6 +167,11 @@
         private final Job job;
         private final Client client;
         private final RequestClass requestClass;
+        /** Its key in the history of attempts; null if its class has none. */
+        private final String historyKey;
+        /** Its last attempt there. */
+        private KeyedAttemptHistory.SentAttempt<String> historyEntry;
+
         private final AttemptHistory history;
         private final long deadline;
         private final long startedAt;
@@ -182,11 +190,27 @@
             this.job = job;
             this.client = client;
             this.requestClass = reader.requestClass(job);
-            this.history = new AttemptHistory(job.requestClass(), fromLink, affinityKey(job));
             this.startedAt = clock.getAsLong();
+            this.historyKey = requestClass.retrySemantics() == RetrySemantics.BY_KEY
+                    ? job.requestClass() + "/" + job.headers().get(JobReader.IDEMPOTENCY_KEY_HEADER)
+                    : null;
+            this.history = new AttemptHistory(job.requestClass(), fromLink, affinityKey(job), priorAttempt(startedAt));
             this.deadline = startedAt + Math.max(1, job.clientTimeoutMillis() * 1_000_000 - RESPONSE_MARGIN_NANOS);
         }
 
+        private AttemptHistory.UncertainAttempt priorAttempt(long now) {
+            KeyedAttemptHistory.SentAttempt<String> first =
+                    historyKey == null ? null : keyedAttempts.first(historyKey, now);
+            return first == null ? null : new AttemptHistory.UncertainAttempt(first.place(), first.sentAt());
+        }
+
+        private void recordAttempt(String place, long now) {
+            history.attemptSent(place, now);
+            if (historyKey != null) {
+                historyEntry = keyedAttempts.record(historyKey, place, now, requestClass.keyTtlNanos());
+            }
+        }
+
         private void advance() {
             long now = clock.getAsLong();
             Map<String, Router.SiteSnapshot> snapshots = new LinkedHashMap<>();
@@ -194,12 +218,12 @@
             Router.Step step = router.nextStep(now, requestClass, deadline, history, snapshots);
             logLocalSiteState();
             if (step instanceof Router.Local local) {
-                history.attemptSent(site, now);
+                recordAttempt(site, now);
                 atRemoteSite = false;
                 submitTo(localEngine, job.withTimeLeft(local.timeLeftNanos()));
             } else if (step instanceof Router.Remote target) {
                 counts.sentToRemoteSites++;
-                history.attemptSent(target.site(), now);
+                recordAttempt(target.site(), now);
                 atRemoteSite = true;
                 long remoteTimeNanos = target.keyWindowNanos() == Long.MAX_VALUE
                         ? target.timeLeftNanos()
@@ -278,6 +302,9 @@
 
         private void submissionUnserved() {
             history.attemptEnded(!lastAttempts.mayHaveRun());
+            if (historyEntry != null && !lastAttempts.mayHaveRun()) {
+                keyedAttempts.removeNotExecuted(historyKey, historyEntry);
+            }
             if (!atRemoteSite) {
                 localAttemptEnded(this, false);
             }
--- a/src/test/java/pondridge/LoadBalancingPolicyTest.java
+++ b/src/test/java/pondridge/LoadBalancingPolicyTest.java
@@ -234,6 +234,23 @@
         }
     }
 
+    /** An attempt for an earlier request with the same key counts like one of this request. */
+    @Test
+    void attemptsOfAnEarlierRequestWithTheSameKeyCount() {
+        RecordingHost host = host(BY_KEY_IN_CELL).withUpstreams(9);
+        long sentAt = host.now;
+        for (int i = 0; i < 9; i++) {
+            host.requestAfter(i, new Balancer.PriorAttempt(4, sentAt));
+            assertEquals(1, host.lastSend().upstream() / 3, "the cell of upstream 4");
+        }
+        host.advance(700 * MS);
+        host.requestAfter(20, new Balancer.PriorAttempt(4, sentAt));
+        assertEquals(List.of(), host.sendsOf(20), "the key is forgotten");
+        assertEquals("fail 20", host.finalResponses.get(host.finalResponses.size() - 1));
+        host.requestAfter(21, new Balancer.PriorAttempt(99, host.now));
+        assertEquals("fail 21", host.finalResponses.get(host.finalResponses.size() - 1), "cell unknown");
+    }
+
     /** The final response to a keyed request whose only attempt is reset after this time. */
     private static List<String> responseAfterReset(long elapsed, long keyTtl) {
         Balancer.RequestClass requestClass = new Balancer.RequestClass(
--- a/src/test/java/pondridge/RecordingHost.java
+++ b/src/test/java/pondridge/RecordingHost.java
@@ -140,6 +140,11 @@
         policy.requestArrived(now, new Request(id, requestClass, 0, 0, timeLeft, 0, false, false));
     }
 
+    /** A request of the first class, with the key of an earlier one. */
+    void requestAfter(long id, Balancer.PriorAttempt priorAttempt) {
+        policy.requestArrived(now, new Request(id, 0, 0, 0, 1_000 * MS, 0, false, true, priorAttempt));
+    }
+
     void outcome(SentAttempt sent, Outcome outcome, float... load) {
         policy.attemptEnded(
                 now,
--- a/src/test/java/pondridge/gateway/RouterTest.java
+++ b/src/test/java/pondridge/gateway/RouterTest.java
@@ -208,6 +208,27 @@
                 "time left to the other site");
     }
 
+    /** An attempt for an earlier request with the same key counts like one of this request. */
+    @Test
+    void theAttemptOfAnEarlierRequestWithTheSameKeyCounts() {
+        LocalSiteHealth localSite = new LocalSiteHealth(LIMITS, 0);
+        Router router = router(localSite, budget(100, 100, 1));
+        Map<String, Router.SiteSnapshot> sites = Map.of("b", site(40 * MS, true, 9));
+        AttemptHistory.UncertainAttempt atOtherSite = new AttemptHistory.UncertainAttempt("b", 0);
+        assertInstanceOf(
+                Router.Remote.class,
+                router.nextStep(MS, HOLD, SECOND, new AttemptHistory(1, false, 0, atOtherSite), sites),
+                "the other site knows its key");
+        assertInstanceOf(
+                Router.Local.class,
+                router.nextStep(MS, CONFIRM, SECOND, new AttemptHistory(2, false, 0, atOtherSite), sites),
+                "all sites know its key");
+        assertInstanceOf(
+                Router.Fail.class,
+                router.nextStep(7_500 * MS, CONFIRM, 9 * SECOND, new AttemptHistory(2, false, 0, atOtherSite), sites),
+                "the key is forgotten");
+    }
+
     @Test
     void requestsWithoutTimeForTheRoundTripAreNotSent() {
         LocalSiteHealth localSite = new LocalSiteHealth(LIMITS, 0);
--- a/src/test/java/pondridge/sidecar/SidecarTest.java
+++ b/src/test/java/pondridge/sidecar/SidecarTest.java
@@ -13,8 +13,11 @@
 import java.lang.ref.WeakReference;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.Set;
+import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicInteger;
 import org.junit.jupiter.api.Test;
 import pondridge.core.Client;
 import pondridge.core.Job;
@@ -107,6 +110,44 @@
         }
     }
 
+    /**
+     * Guards against orders executed twice after a failure: the client's next request with the same key went to servers
+     * that don't know the key of the attempt before.
+     */
+    @Test
+    void aRequestWithTheKeyOfAnEarlierAttemptStaysWithTheServersThatKnowTheKey() throws Exception {
+        AtomicInteger executions = new AtomicInteger();
+        Set<String> executedIn = ConcurrentHashMap.newKeySet();
+        StubServer.Script first = (socket, head) -> {
+            executedIn.add("cell 1");
+            return executions.getAndIncrement() > 0 && StubServer.reply(socket, "200 OK", "", "repeat");
+        };
+        StubServer.Script second = (socket, head) -> {
+            executedIn.add("cell 2");
+            return executions.getAndIncrement() > 0 && StubServer.reply(socket, "200 OK", "", "repeat");
+        };
+        try (StubServer inCell1 = new StubServer(first);
+                StubServer inCell2 = new StubServer(second)) {
+            ObjectNode json = SidecarFixture.config(inCell1, inCell2);
+            ((ObjectNode) json.at("/known/targets/1")).put("pod_group", 2);
+            ((ObjectNode) json.at("/settings/profiles/1")).put("keyScope", "cell");
+            try (SidecarFixture sidecar = new SidecarFixture(json)) {
+                String order = SidecarFixture.postRequest("hold", "Idempotency-Key: k1\r\n", "x");
+                assertEquals(
+                        502, sidecar.exchange(order.replace("9b1f", "id-0")).status());
+                for (int i = 1; i <= 4; i++) {
+                    assertEquals(
+                            "repeat",
+                            sidecar.exchange(order.replace("9b1f", "id-" + i)).body());
+                }
+                assertEquals(1, executedIn.size(), "all in one cell: " + executedIn);
+                sidecar.exchange(order.replace("9b1f", "id-5").replace("k1", "k2"));
+                sidecar.exchange(order.replace("9b1f", "id-6").replace("k1", "k3"));
+                assertEquals(2, executedIn.size(), "other keys are not restricted");
+            }
+        }
+    }
+
     /** A refused connection proves that nothing was executed, so even an unsafe request may go to another server. */
     @Test
     void unsafeRequestIsRetriedWhenNoConnectionIsEstablished() throws Exception {
