Let the script of a late second response go on when its connection is closed

Its script writes an unsolicited response to another connection. The transport closes that connection, as it should; if it does so before the script has flushed, the script ended with an exception and reset the third request. Traced with the stub's log.

Change: the script passes over that exception. All that the test asserts is as before.

--- a/src/test/java/pondridge/http1/UpstreamsTest.java
+++ b/src/test/java/pondridge/http1/UpstreamsTest.java
@@ -8,6 +8,7 @@
 import io.netty.channel.MultiThreadIoEventLoopGroup;
 import io.netty.handler.codec.http.DefaultHttpHeaders;
 import io.netty.handler.codec.http.HttpMethod;
+import java.io.IOException;
 import java.net.InetSocketAddress;
 import java.net.Socket;
 import java.nio.charset.StandardCharsets;
@@ -323,7 +324,11 @@
                 secondSocket.set(socket);
                 return StubServer.reply(socket, "200 OK", "", "second");
             }
-            StubServer.reply(secondSocket.get(), "200 OK", "", "second");
+            try {
+                StubServer.reply(secondSocket.get(), "200 OK", "", "second");
+            } catch (IOException e) {
+                // It was written, and its connection was closed in response before the script's next call.
+            }
             return StubServer.reply(socket, "200 OK", "", "third");
         })) {
             Upstreams upstreams = upstreams(upstream.address(), LONG_TIMEOUT_NANOS, 10);
