Count heads in memory while they are being received, and bound the number of their fields

Callers saw: with 980 clients connected that sent heads of very many short fields and stopped, sound clients on new connections got 3 responses in 4 s, three late; the process's memory doubled.

Cause: a head counted in the memory budgets only once it was complete. Until then the decoder held up to 8 KB of fields, 4 bytes each with their line ends, of which each takes some 150 bytes of heap: 250 KB a connection, beside the budgets. The same held for the heads of upstreams' responses and for the decoder's undecoded rest.

Change: HeadReservation counts fields, characters and undecoded bytes of an incomplete head in the connection's share, in both directions. More than 128 fields are answered 431; a head without memory gets 503, a response's head fails its attempt.

--- a/src/main/java/pondridge/core/Headers.java
+++ b/src/main/java/pondridge/core/Headers.java
@@ -26,10 +26,10 @@
             "Srv-Load",
             "Srv-Declined");
 
-    /** Memory of a message's head without its headers, and of one header without its characters. */
+    /** Memory of a message's head without its fields. */
     private static final int HEAD_BYTES = 512;
-
-    private static final int HEADER_BYTES = 160;
+    /** Memory of one header field without its characters. */
+    static final int FIELD_BYTES = 160;
 
     private Headers() {}
 
@@ -39,7 +39,7 @@
         int bytes = HEAD_BYTES;
         while (headers.hasNext()) {
             Map.Entry<? extends CharSequence, ? extends CharSequence> header = headers.next();
-            bytes += HEADER_BYTES + header.getKey().length() + header.getValue().length();
+            bytes += FIELD_BYTES + header.getKey().length() + header.getValue().length();
         }
         return bytes;
     }
--- a/src/main/java/pondridge/http1/Frontend.java
+++ b/src/main/java/pondridge/http1/Frontend.java
@@ -31,6 +31,7 @@
 import io.netty.handler.codec.http.LastHttpContent;
 import io.netty.handler.codec.http.TooLongHttpHeaderException;
 import io.netty.handler.codec.http.TooLongHttpLineException;
+import io.netty.util.AsciiString;
 import io.netty.util.ReferenceCountUtil;
 import java.io.IOException;
 import java.math.BigDecimal;
@@ -39,6 +40,7 @@
 import java.nio.charset.StandardCharsets;
 import java.util.ArrayDeque;
 import java.util.HashSet;
+import java.util.List;
 import java.util.Set;
 import java.util.concurrent.TimeUnit;
 import java.util.function.LongFunction;
@@ -48,6 +50,7 @@
 import pondridge.core.BufferBudgets;
 import pondridge.core.Client;
 import pondridge.core.EventCounters;
+import pondridge.core.HeadReservation;
 import pondridge.core.Headers;
 import pondridge.core.HeapReceiveBuffers;
 import pondridge.core.Job;
@@ -263,8 +266,43 @@
             this.entry = connections.add(this, System.nanoTime());
         }
 
-        /** Enters READING at a request's first byte, and discards what follows a rejected request. */
+        /**
+         * Enters READING at a request's first byte, and discards what follows a rejected request. The fields of a head
+         * are bounded in number and counted as they arrive: an incomplete head holds memory, too, and many short fields
+         * hold far more of it than their characters.
+         */
         private final class Decoder extends HttpRequestDecoder {
+            private final HeadReservation reservation = new HeadReservation(requestShare);
+
+            @Override
+            protected void decode(ChannelHandlerContext context, ByteBuf in, List<Object> out) throws Exception {
+                int before = in.readerIndex();
+                super.decode(context, in, out);
+                if (out.isEmpty()) {
+                    reservation.addCharacters(in.readerIndex() - before);
+                } else {
+                    reservation.release();
+                }
+            }
+
+            @Override
+            protected HttpMessage createMessage(String[] initialLine) throws Exception {
+                reservation.begin();
+                return super.createMessage(initialLine);
+            }
+
+            @Override
+            protected AsciiString splitHeaderName(byte[] line, int start, int length) {
+                reservation.addField();
+                return super.splitHeaderName(line, start, length);
+            }
+
+            @Override
+            public void channelInactive(ChannelHandlerContext context) throws Exception {
+                super.channelInactive(context);
+                reservation.close();
+            }
+
             @Override
             public void channelRead(ChannelHandlerContext context, Object message) throws Exception {
                 if (isIn(State.LINGERING)) {
@@ -287,6 +325,7 @@
             public void channelReadComplete(ChannelHandlerContext context) throws Exception {
                 super.channelReadComplete(context);
                 HeapReceiveBuffers.trim(internalBuffer());
+                reservation.setBuffered(internalBuffer());
             }
 
             /**
@@ -654,6 +693,9 @@
         if (cause instanceof TooLongHttpHeaderException) {
             return HttpResponseStatus.REQUEST_HEADER_FIELDS_TOO_LARGE;
         }
+        if (cause instanceof HeadReservation.NoCapacityException) {
+            return HttpResponseStatus.SERVICE_UNAVAILABLE;
+        }
         return cause instanceof TooLongHttpLineException
                 ? HttpResponseStatus.REQUEST_URI_TOO_LONG
                 : HttpResponseStatus.BAD_REQUEST;
--- a/src/main/java/pondridge/http1/Upstreams.java
+++ b/src/main/java/pondridge/http1/Upstreams.java
@@ -47,6 +47,7 @@
 import pondridge.core.BufferBudget;
 import pondridge.core.BufferBudgets;
 import pondridge.core.EventCounters;
+import pondridge.core.HeadReservation;
 import pondridge.core.Headers;
 import pondridge.core.HeapReceiveBuffers;
 import pondridge.core.Job;
@@ -386,11 +387,13 @@
      */
     private static final class Decoder extends HttpResponseDecoder {
         private static final byte[] STATUS_LINE_START = "HTTP/1.".getBytes(StandardCharsets.US_ASCII);
+        private final HeadReservation reservation;
         private boolean inResponse;
 
         /** Header values are not validated here: an invalid load report must not fail the response. */
-        Decoder() {
+        Decoder(BufferBudget.ConnectionShare share) {
             super(new HttpDecoderConfig().setValidateHeaders(false));
+            reservation = new HeadReservation(share);
         }
 
         /** Whether part of a response was received, including lines that are already decoded. */
@@ -402,6 +405,13 @@
         public void channelReadComplete(ChannelHandlerContext context) throws Exception {
             super.channelReadComplete(context);
             HeapReceiveBuffers.trim(internalBuffer());
+            reservation.setBuffered(internalBuffer());
+        }
+
+        @Override
+        public void channelInactive(ChannelHandlerContext context) throws Exception {
+            super.channelInactive(context);
+            reservation.close();
         }
 
         @Override
@@ -418,18 +428,31 @@
                 }
                 inResponse = true;
             }
+            int before = in.readerIndex();
             super.decode(context, in, out);
+            if (out.isEmpty()) {
+                reservation.addCharacters(in.readerIndex() - before);
+            } else {
+                reservation.release();
+            }
             if (!out.isEmpty() && out.get(out.size() - 1) instanceof LastHttpContent) {
                 inResponse = false;
             }
         }
 
+        @Override
+        protected HttpMessage createMessage(String[] initialLine) {
+            reservation.begin();
+            return super.createMessage(initialLine);
+        }
+
         /** In a response the default decoder accepts a line without a colon as a header with no value. */
         @Override
         protected AsciiString splitHeaderName(byte[] line, int start, int length) {
             if (start + length >= line.length || line[start + length] != ':') {
                 throw new CorruptedFrameException("header line without a colon");
             }
+            reservation.addField();
             return super.splitHeaderName(line, start, length);
         }
 
@@ -446,7 +469,6 @@
      */
     private final class Connection extends SimpleChannelInboundHandler<HttpObject> {
         private final Pool pool;
-        private final Decoder decoder = new Decoder();
         private final int generation;
         private Channel channel;
         private Http1Attempt current;
@@ -458,6 +480,7 @@
         private HttpResponse head;
         private HttpHeaders headers;
         private final BufferBudget.ConnectionShare share = responseBudget.newShare(guaranteedResponseBytes);
+        private final Decoder decoder = new Decoder(share);
         private final BodyBuffer body = new BodyBuffer(share, MAX_RESPONSE_BYTES);
         private int headBytes;
         private int interimResponses;
--- a/src/test/java/pondridge/sidecar/BufferMemoryIT.java
+++ b/src/test/java/pondridge/sidecar/BufferMemoryIT.java
@@ -174,6 +174,29 @@
         }
     }
 
+    /** Guards against a heap used up by response heads of very many short fields that servers do not complete. */
+    @Test
+    void incompleteResponseHeadsDelayNoOtherRequest() throws Exception {
+        String head = "HTTP/1.1 200 OK\r\n" + "a:\r\n".repeat(1_900);
+        StubServer[] servers = new StubServer[SERVERS];
+        for (int i = 0; i < SERVERS; i++) {
+            servers[i] = server((socket, requestHead) -> {
+                StubServer.write(socket, head);
+                return StubServer.await(end);
+            });
+        }
+        try (DeployedProcess sidecar = start(servers)) {
+            flood(sidecar.address, 300, i -> get("/api/large", "a" + i, SidecarFixture.CLIENT_TIMEOUT_MS));
+            awaitResponsesInTime(sidecar, "sound");
+            assertNoFailedAllocation(sidecar);
+            assertTrue(sidecar.isRunning(), "the process has ended");
+        } finally {
+            for (StubServer server : servers) {
+                server.close();
+            }
+        }
+    }
+
     /** Guards against a heap used up by responses that servers begin and do not complete. */
     @Test
     void incompleteResponsesDelayNoOtherRequest() throws Exception {
--- a/src/test/java/pondridge/sidecar/SidecarTest.java
+++ b/src/test/java/pondridge/sidecar/SidecarTest.java
@@ -110,6 +110,21 @@
         }
     }
 
+    /** Short fields hold far more memory than they have characters, so their number is bounded, too. */
+    @Test
+    void aHeadWithTooManyFieldsIsRejected() throws Exception {
+        try (StubServer upstream = StubServer.serving("x");
+                SidecarFixture sidecar = SidecarFixture.with(upstream)) {
+            String request = SidecarFixture.safeRequest("a");
+            String accepted = request.replace("\r\n\r\n", "\r\n" + "a:b\r\n".repeat(123) + "\r\n");
+            assertEquals(200, sidecar.exchange(accepted).status());
+            assertEquals(
+                    431,
+                    sidecar.exchange(accepted.replace("Host", "a:b\r\nHost").replace(": a\r", ": b\r"))
+                            .status());
+        }
+    }
+
     /**
      * Guards against orders executed twice after a failure: the client's next request with the same key went to servers
      * that don't know the key of the attempt before.
