Bound the age of accepted connections also while the backlog is never found empty

Callers saw: while 980 clients kept connecting, sound requests on new connections were refused (174 of 203 in a run; 503 at once), and waited long behind the others; some were closed without a response.

Causes, found by the counter REQUEST_EXPIRED with refusals after 0 ms: - the listener accepted 4 connections a turn and, when it had, took the backlog for not empty; a connection counted as old as the last time it was seen empty, which under a flood is ever longer ago. Their requests were refused as expired; - to make room for a connection, others that were just accepted were closed before those that had been sending a request for seconds.

Change: the listener accepts as many as descriptors are to spare (4 to 128 a turn). The backlog is a queue of 1,024: once as many have been accepted since a mark, the others came after the mark, which bounds their age. A connection that has been sending one request for over 0.3 s is closed before one that was just accepted.

--- a/src/main/java/pondridge/control/ControlServer.java
+++ b/src/main/java/pondridge/control/ControlServer.java
@@ -65,7 +65,6 @@
                 .installOn(new ServerBootstrap())
                 .group(loop)
                 .channel(NioServerSocketChannel.class)
-                .option(ChannelOption.SO_BACKLOG, 1_024)
                 .option(ChannelOption.SO_REUSEADDR, true)
                 .childOption(ChannelOption.TCP_NODELAY, true)
                 .childHandler(new ChannelInitializer<Channel>() {
--- a/src/main/java/pondridge/core/AcceptMonitor.java
+++ b/src/main/java/pondridge/core/AcceptMonitor.java
@@ -6,6 +6,7 @@
 import io.netty.channel.ChannelOption;
 import io.netty.channel.ServerChannelRecvByteBufAllocator;
 import java.util.concurrent.TimeUnit;
+import java.util.function.IntSupplier;
 
 /**
  * The first handler in the pipeline of a listener. Bounds how long the connections that are being accepted may have
@@ -15,15 +16,25 @@
 public final class AcceptMonitor extends ChannelInboundHandlerAdapter {
     /** Connections that a listener accepts for one poll, unless it needs another limit. */
     public static final int DEFAULT_ACCEPTS_PER_TURN = 16;
+    /** Limit on the backlog of a listener. */
+    public static final int BACKLOG = 1_024;
 
     private static final int MAX_RETRY_DELAY_MILLIS = 16;
 
-    private final int maxAcceptsPerTurn;
+    private final IntSupplier acceptLimit;
+    private final ServerChannelRecvByteBufAllocator accepts = new ServerChannelRecvByteBufAllocator();
     private final EventCounters counters;
     private final Runnable onDescriptorsExhausted;
     private ReadProgress progress;
     private long connectedAfter;
+    /** The limit on the connections that are accepted for the current poll. */
+    private int maxAcceptsPerTurn;
+
     private int accepted;
+    /** A time at which {@link #acceptedSinceMark} were still in the backlog, or not established yet. */
+    private long markAt;
+
+    private int acceptedSinceMark;
     private int consecutiveFailures;
 
     /**
@@ -34,17 +45,33 @@
      *     left when accepting is tried again
      */
     public AcceptMonitor(int maxAcceptsPerTurn, EventCounters counters, Runnable onDescriptorsExhausted) {
-        this.maxAcceptsPerTurn = maxAcceptsPerTurn;
+        this(() -> maxAcceptsPerTurn, counters, onDescriptorsExhausted);
+    }
+
+    /**
+     * Creates the handler for one listener.
+     *
+     * @param acceptLimit how many connections the listener accepts for the next poll at most
+     * @param onDescriptorsExhausted called if the process or the machine still has no file descriptor
+     *     left when accepting is tried again
+     */
+    public AcceptMonitor(IntSupplier acceptLimit, EventCounters counters, Runnable onDescriptorsExhausted) {
+        this.acceptLimit = acceptLimit;
         this.counters = counters;
         this.onDescriptorsExhausted = onDescriptorsExhausted;
     }
 
     /** Adds this handler and its limit to a listener that is not bound yet. */
     public ServerBootstrap installOn(ServerBootstrap listener) {
+        setAcceptLimit();
         return listener.handler(this)
-                .option(
-                        ChannelOption.RECVBUF_ALLOCATOR,
-                        new ServerChannelRecvByteBufAllocator().maxMessagesPerRead(maxAcceptsPerTurn));
+                .option(ChannelOption.SO_BACKLOG, BACKLOG)
+                .option(ChannelOption.RECVBUF_ALLOCATOR, accepts);
+    }
+
+    private void setAcceptLimit() {
+        maxAcceptsPerTurn = Math.max(1, acceptLimit.getAsInt());
+        accepts.maxMessagesPerRead(maxAcceptsPerTurn);
     }
 
     /** Connections that are being accepted were established after this time. */
@@ -71,12 +98,28 @@
         }
     }
 
+    /**
+     * Whether a backlog that is never found empty has been accepted since the mark. It is a queue of limited length, so
+     * what is accepted from then on was established after the mark.
+     */
+    private boolean backlogPassed() {
+        acceptedSinceMark += accepted;
+        return acceptedSinceMark > BACKLOG;
+    }
+
     @Override
     public void channelReadComplete(ChannelHandlerContext context) {
         beginTurn();
         if (progress != null) {
-            progress.dataRead(connectedAfter, accepted >= maxAcceptsPerTurn);
+            boolean mayHaveMore = accepted >= maxAcceptsPerTurn;
+            boolean passed = backlogPassed();
+            progress.dataRead(passed ? Math.max(connectedAfter, markAt) : connectedAfter, mayHaveMore);
+            if (passed || !mayHaveMore) {
+                acceptedSinceMark = 0;
+                markAt = System.nanoTime();
+            }
         }
+        setAcceptLimit();
         consecutiveFailures = accepted > 0 ? 0 : consecutiveFailures;
         accepted = 0;
         context.fireChannelReadComplete();
--- a/src/main/java/pondridge/core/Transport.java
+++ b/src/main/java/pondridge/core/Transport.java
@@ -90,4 +90,9 @@
 
     /** Closes the idle connections to an upstream. */
     void closeIdle(long upstream);
+
+    /** The number of open connections to all upstreams; the largest integer if it is not known. */
+    default int openConnections() {
+        return Integer.MAX_VALUE;
+    }
 }
--- a/src/main/java/pondridge/http1/ConnectionTable.java
+++ b/src/main/java/pondridge/http1/ConnectionTable.java
@@ -27,6 +27,8 @@
     static final long NEW_WHILE_DRAINING_NANOS = 300_000_000L;
     /** A new connection that has sent nothing for this long is evicted before an idle one. */
     static final long SILENT_NANOS = 100_000_000L;
+    /** A connection that has been sending one request for this long is evicted before one that was just accepted. */
+    static final long SLOW_NANOS = 300_000_000L;
 
     /** The state of a connection; the names appear in the request log. */
     enum State {
@@ -126,11 +128,13 @@
 
     /**
      * The connection to close in favour of a new one, or null if each one has a request whose response is
-     * pending or being written. The order is: lingering, new and silent for {@link #SILENT_NANOS}, idle, just
-     * accepted, and last those that have sent part of a request.
+     * pending or being written. The order is: lingering, new and silent for {@link #SILENT_NANOS}, idle, sending a
+     * request for longer than {@link #SLOW_NANOS}, just accepted, and last those that have just begun to send one.
      */
     Entry<C> evictionCandidate(long now) {
-        return firstNonNull(restingCandidate(now), first(State.NEW), first(State.READING));
+        Entry<C> longestReading = first(State.READING);
+        Entry<C> slow = longestReading != null && now - longestReading.since > SLOW_NANOS ? longestReading : null;
+        return firstNonNull(restingCandidate(now), slow, first(State.NEW), longestReading);
     }
 
     /** The connection to close that has no request and does not seem to be about to send its first, or null. */
--- a/src/main/java/pondridge/http1/Frontend.java
+++ b/src/main/java/pondridge/http1/Frontend.java
@@ -43,6 +43,7 @@
 import java.util.List;
 import java.util.Set;
 import java.util.concurrent.TimeUnit;
+import java.util.function.IntSupplier;
 import java.util.function.LongFunction;
 import pondridge.BalancerOptions;
 import pondridge.core.AcceptMonitor;
@@ -74,8 +75,10 @@
     private static final long REQUEST_ID_RETENTION_NANOS = 2_000_000_000L;
 
     private static final long SWEEP_INTERVAL_MILLIS = 100;
-    /** Connections accepted per loop turn. Evicted connections keep their descriptors until the next turn. */
-    private static final int MAX_ACCEPTS_PER_TURN = 4;
+    /** Connections accepted per loop turn if no descriptors are to spare for them. */
+    private static final int MIN_ACCEPTS_PER_TURN = 4;
+
+    private static final int MAX_ACCEPTS_PER_TURN = 128;
     /**
      * Memory of a place in the queue behind an open request, which a request keeps that has no memory for more. It is
      * refused when its turn comes.
@@ -100,6 +103,7 @@
     private boolean draining;
     private long lastAcceptAt = System.nanoTime();
     private Channel serverChannel;
+    private IntSupplier spareDescriptors = () -> 0;
     private RequestLog log = RequestLog.NONE;
     private EventCounters counters = EventCounters.unlogged();
 
@@ -127,12 +131,11 @@
      */
     public ChannelFuture listen(EventLoopGroup group, InetSocketAddress address) {
         AcceptMonitor acceptMonitor =
-                new AcceptMonitor(MAX_ACCEPTS_PER_TURN, counters, () -> evict(connections::restingCandidate));
+                new AcceptMonitor(this::acceptLimit, counters, () -> evict(connections::restingCandidate));
         ChannelFuture bound = acceptMonitor
                 .installOn(new ServerBootstrap())
                 .group(group)
                 .channel(NioServerSocketChannel.class)
-                .option(ChannelOption.SO_BACKLOG, 1024)
                 .option(ChannelOption.SO_REUSEADDR, true)
                 .childOption(ChannelOption.TCP_NODELAY, true)
                 .childOption(ChannelOption.RECVBUF_ALLOCATOR, new HeapReceiveBuffers())
@@ -166,6 +169,23 @@
         return bound;
     }
 
+    /**
+     * Sets how many more descriptors the process may open; must be called before {@link #listen}. Without it the
+     * listener assumes that none are to spare beyond those of its own connections.
+     */
+    public void setSpareDescriptors(IntSupplier spareDescriptors) {
+        this.spareDescriptors = spareDescriptors;
+    }
+
+    /**
+     * How many connections to accept at once. Those beyond the limit evict others, which keep their descriptors until
+     * the next loop turn. But a backlog that is not emptied hides how long its connections have waited.
+     */
+    private int acceptLimit() {
+        int free = Math.max(maxConnections - connections.size(), spareDescriptors.getAsInt() / 2);
+        return Math.max(MIN_ACCEPTS_PER_TURN, Math.min(MAX_ACCEPTS_PER_TURN, free));
+    }
+
     /** Sets the log for closed connections; must be called before {@link #listen}. */
     public void setRequestLog(RequestLog log) {
         this.log = log;
@@ -202,6 +222,11 @@
         drain();
     }
 
+    /** The number of client connections. */
+    public int connectionCount() {
+        return connections.size();
+    }
+
     /** Whether no client is connected. */
     public boolean hasNoConnections() {
         return connections.size() == 0;
--- a/src/main/java/pondridge/http1/Upstreams.java
+++ b/src/main/java/pondridge/http1/Upstreams.java
@@ -211,6 +211,11 @@
         }
     }
 
+    @Override
+    public int openConnections() {
+        return openConnections;
+    }
+
     /** Stops the idle sweep and closes all idle connections. */
     public void close() {
         idleSweep.cancel(false);
--- a/src/main/java/pondridge/platform/PlatformConfig.java
+++ b/src/main/java/pondridge/platform/PlatformConfig.java
@@ -87,6 +87,11 @@
         return Math.max(maxSockets / 4, maxSockets - maxClientConnections() - RESERVED_DESCRIPTORS);
     }
 
+    /** The descriptors for connections of clients and to upstreams together. */
+    public int connectionDescriptors() {
+        return maxSockets - RESERVED_DESCRIPTORS;
+    }
+
     private static InetSocketAddress address(JsonNode root, String key) {
         InetSocketAddress address = parseAddress(root.path(key).asText(""));
         if (address == null) {
--- a/src/main/java/pondridge/sidecar/Main.java
+++ b/src/main/java/pondridge/sidecar/Main.java
@@ -173,6 +173,8 @@
         discovery.setRequestLog(requestLog);
         frontend.setRequestLog(requestLog);
         frontend.setCounters(counters);
+        frontend.setSpareDescriptors(
+                () -> config.connectionDescriptors() - frontend.connectionCount() - upstreams.openConnections());
         if (settings != null && settings.control() != null) {
             SidecarControl.start(
                     loop, engine, settings.control(), config.cachedEndpoints().targets());
