Release the timers and queue places of requests that have ended

Cause, found by reading every timer of the code: - the policy's timers could not be cancelled: each request held its memory until its deadline, though it was answered at once; - requests that ended while queued stayed below newer ones (newest first) for as long as an overload lasted; - the timer of the probes before a first attempt ended the wait for those before the second.

A request that ends leaves its tenant's queue and the lists of those who wait for probes.

How much memory it held was not measured by a process of its own.

--- a/src/main/java/pondridge/LoadBalancingPolicy.java
+++ b/src/main/java/pondridge/LoadBalancingPolicy.java
@@ -373,6 +373,11 @@
         /** The attempt for an earlier request with the same key; null if there is none. */
         final UncertainAttempt priorAttempt;
 
+        TimerQueue.Timer deadlineTimer;
+        TimerQueue.Timer queueTimer;
+        /** Ends the wait for the results of the current probes. */
+        TimerQueue.Timer probeTimer;
+
         boolean closed;
         boolean queued;
         boolean streaming;
@@ -440,7 +445,7 @@
                     ? Call.ON_TIME_MARGIN * call.expectedNanos
                     : 0.5 * Math.min(call.expectedNanos, Math.min(call.sloNanos, request.clientTimeoutNanos()));
             calls.put(request.id(), call);
-            timers.schedule(call.deadline, firedAt -> {
+            call.deadlineTimer = timers.schedule(call.deadline, firedAt -> {
                 if (!call.streaming) {
                     refuseOrFail(firedAt, call);
                 }
@@ -623,7 +628,9 @@
                 actions.cancelAttempt(call.request.id(), call.attempts.size() - 1);
             }
             call.closed = true;
-            call.queued = false;
+            admission.removeFromQueue(call);
+            timers.cancel(call.deadlineTimer);
+            probes.endWait(call);
             if (!call.hasOutstandingAttempt()) {
                 calls.remove(call.request.id());
             }
@@ -1295,7 +1302,8 @@
                 tenantQueue(call).calls.push(call);
                 queuedCount++;
                 long latestStart = call.sloDeadline - (long) (Call.ON_TIME_MARGIN * call.expectedNanos);
-                timers.schedule(Math.max(now + 1, latestStart), firedAt -> {
+                timers.cancel(call.queueTimer);
+                call.queueTimer = timers.schedule(Math.max(now + 1, latestStart), firedAt -> {
                     if (call.queued) {
                         tracker.refuseOrFail(firedAt, call);
                     }
@@ -1327,6 +1335,15 @@
             return tenantQueues[Math.min(call.request.tenant(), tenantQueues.length - 1)];
         }
 
+        /** Requests that ended while queued would stay below newer ones for as long as an overload lasts. */
+        void removeFromQueue(Call call) {
+            timers.cancel(call.queueTimer);
+            if (call.queued && tenantQueue(call).calls.remove(call)) {
+                queuedCount--;
+            }
+            call.queued = false;
+        }
+
         private boolean dispatch(long now, Call call) {
             Server server = rotation.pick(now, call, false);
             // A fault common to all servers would leave none eligible. If all are unhealthy, health is ignored.
@@ -1459,12 +1476,19 @@
                 actions.probe(server.entry.id());
             }
             call.pendingProbes = call.probedServers.size();
-            timers.schedule(
+            // Left running, it would end the wait for the probes of the next attempt.
+            call.probeTimer = timers.schedule(
                     now + call.sloNanos / PROBE_TIMEOUT_SLO_DIVISOR,
                     firedAt -> onProbesCompleted(firedAt, call, call.pendingProbes));
             return call.pendingProbes > 0;
         }
 
+        /** Results of the current probes that are still to come are not for this request any more. */
+        void endWait(Call call) {
+            timers.cancel(call.probeTimer);
+            call.probedServers.forEach(server -> server.probeWaiters.remove(call));
+        }
+
         void onProbeResult(long now, Server server, Outcome outcome, float[] loadReport) {
             if (outcome == Outcome.OK && loadReport.length > inFlightFieldIndex && inFlightFieldIndex >= 0) {
                 server.reportedInFlight = loadReport[inFlightFieldIndex];
@@ -1483,6 +1507,7 @@
             if (call.pendingProbes == 0 || (call.pendingProbes -= completedProbes) > 0 || call.closed) {
                 return;
             }
+            endWait(call);
             double fewest = Double.MAX_VALUE;
             for (Server server : call.probedServers) {
                 fewest = Math.min(fewest, server.reportedInFlight);
--- a/src/test/java/pondridge/LoadBalancingPolicyTest.java
+++ b/src/test/java/pondridge/LoadBalancingPolicyTest.java
@@ -457,6 +457,21 @@
         assertEquals(probed.get(2), "probe " + host.lastSend().upstream());
     }
 
+    /** The timer of the first attempt's probes must not end the wait for those of the second. */
+    @Test
+    void probesOfARetryGetTheirOwnTime() {
+        RecordingHost host = probingHost(100);
+        long probeTimeout = REPEATABLE.sloNanos() / 20;
+        host.request(1, 0);
+        respondToProbes(host, 3, 2);
+        host.advance(probeTimeout / 2);
+        host.outcome(host.lastSend(), Outcome.REJECTED);
+        host.advance(probeTimeout - MS);
+        assertEquals(1, host.sends.size(), "no result yet");
+        host.advance(MS);
+        assertEquals(2, host.sends.size());
+    }
+
     @Test
     void requestProceedsIfNoProbeGetsAResponse() {
         RecordingHost host = probingHost(100);
