Read a client's socket to its end before a request is forwarded for it

Callers saw: requests were forwarded after their client had closed its connection, with much of what it had written still unread.

Cause: a disconnect lies behind all unread bytes. After a standstill the socket was read on demand, but 16 times at most (256 KB in small reads); a client that had written more counted as connected.

Change: 1,024 reads, more than the socket buffers of both sides hold. What they bring is bounded by the connection's memory.

--- a/src/main/java/pondridge/core/SocketMonitor.java
+++ b/src/main/java/pondridge/core/SocketMonitor.java
@@ -17,8 +17,11 @@
      * attempt may begin up to 0.1 s after its client has left, which leaves the rest for the time to the write.
      */
     private static final long AGE_TOLERANCE_NANOS = 40_000_000;
-    /** Reads on demand until the socket is empty; a client that still sends after that many is not gone. */
-    private static final int MAX_READS_ON_DEMAND = 16;
+    /**
+     * Reads on demand until the socket is empty. A disconnect may lie behind all that the socket's receive buffer and the
+     * peer's send buffer hold, some megabytes; a client that still sends after that many reads is not gone.
+     */
+    private static final int MAX_READS_ON_DEMAND = 1_024;
 
     private final ReadProgress progress;
     private long arrivedAfter;
