Tell a new server from the one before at its address, and another start from an earlier one

Callers could see: a request with a key of one cell executed a second time by a new server of another cell, which had come up at the address of the one that was gone and was still listed.

Causes: servers were told apart by name alone, so two listed names at one address both got requests; and a start counted as a new one only if its time, by the list's wall clock, was later than the one before, so that after a step of the clock a restarted server kept the connections, in-flight counts, warmth and faults of the process before.

Change: of two servers listed at one address only the one started later counts (EndpointOwners); the other is gone. A start time that differs from the last one is always a later start (ServerStartEstimate). Before the list tells of a new process nothing on HTTP/1.1 tells it from the old one: open.

--- a/src/main/java/pondridge/core/Engine.java
+++ b/src/main/java/pondridge/core/Engine.java
@@ -6,6 +6,7 @@
 import java.nio.ByteBuffer;
 import java.util.ArrayDeque;
 import java.util.ArrayList;
+import java.util.Collection;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
@@ -197,6 +198,7 @@
     private final long clockOffsetNanos = System.currentTimeMillis() * 1_000_000 - System.nanoTime();
     private EndpointDiscovery discovery;
     private final ObservedEndpoints endpoints = new ObservedEndpoints();
+    private final EndpointOwners owners = new EndpointOwners();
     private final ServerStartEstimate serverStarts = new ServerStartEstimate();
     private Observer observer;
     private RequestLog log = RequestLog.NONE;
@@ -401,11 +403,15 @@
             dispatch(now -> balancer.discoveryCallFailed(now, silentNanos));
             return;
         }
-        List<Upstream> entries = new ArrayList<>(targets.size());
-        Map<Long, Target> targetsById = new HashMap<>();
         long nowMillis = now() / 1_000_000;
+        Collection<Target> resolved = owners.resolve(
+                kind != EndpointListKind.DELTA,
+                targets,
+                target -> serverStarts.startOf(target.uid(), target.startedMs(), nowMillis));
+        List<Upstream> entries = new ArrayList<>(resolved.size());
+        Map<Long, Target> targetsById = new HashMap<>();
         Map<Long, Long> startMillisById = new HashMap<>();
-        for (Target target : targets) {
+        for (Target target : resolved) {
             long id = upstreamIds.computeIfAbsent(target.uid(), uid -> upstreamIds.size() + 1L);
             targetsById.put(id, target);
             long startMillis = serverStarts.startOf(target.uid(), target.startedMs(), nowMillis);
--- a/src/main/java/pondridge/core/ServerStartEstimate.java
+++ b/src/main/java/pondridge/core/ServerStartEstimate.java
@@ -31,6 +31,10 @@
             return previous.estimatedMillis;
         }
         long estimate = estimate(listedMillis, nowMillis);
+        if (previous != null && listedMillis != 0 && estimate <= previous.estimatedMillis) {
+            // Another start of the same server is a later one, whatever the list's clock says.
+            estimate = Math.max(nowMillis, previous.estimatedMillis + 1);
+        }
         starts.put(uid, new Start(listedMillis, estimate));
         return estimate;
     }
--- a/src/test/java/pondridge/core/ServerStartEstimateTest.java
+++ b/src/test/java/pondridge/core/ServerStartEstimateTest.java
@@ -58,6 +58,21 @@
         }
     }
 
+    /** Guards against a restarted server taken for the process before, with its warmth and its connections. */
+    @Test
+    void anotherStartIsAlwaysALaterOne() {
+        ServerStartEstimate estimate = new ServerStartEstimate();
+        long now = 1_700_000_000_000L;
+        estimate.listApplied(now);
+        long first = estimate.startOf("a", now - 1_000, now);
+        estimate.listApplied(now);
+        for (long step : new long[] {10, 5_000, 14_000, HOUR_MILLIS}) {
+            long second = estimate.startOf("a", now - 1_000 - step, now + 2_000);
+            assertTrue(second > first, "listed " + step + " ms earlier");
+            first = second;
+        }
+    }
+
     @Test
     void beforeTheFirstListAnyAgeIsPossible() {
         ServerStartEstimate estimate = new ServerStartEstimate();
--- a/src/test/java/pondridge/sidecar/SidecarTest.java
+++ b/src/test/java/pondridge/sidecar/SidecarTest.java
@@ -19,8 +19,11 @@
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicInteger;
 import org.junit.jupiter.api.Test;
+import pondridge.Balancer.EndpointListKind;
+import pondridge.Balancer.UpstreamState;
 import pondridge.core.Client;
 import pondridge.core.Job;
+import pondridge.core.Target;
 import pondridge.core.UpstreamResponse;
 import pondridge.http1.StubServer;
 
@@ -110,6 +113,42 @@
         }
     }
 
+    /**
+     * Guards against a request executed twice by a new server at the address of one that has gone: while the list still
+     * names both, the new one was taken for the old one, with its cell.
+     */
+    @Test
+    void aNewServerIsNotTakenForTheOneBeforeAtItsAddress() throws Exception {
+        AtomicInteger executions = new AtomicInteger();
+        try (StubServer server = new StubServer((socket, head) ->
+                executions.getAndIncrement() > 0 && StubServer.reply(socket, "200 OK", "", "again"))) {
+            ObjectNode json = SidecarFixture.config(server);
+            ((ObjectNode) json.at("/settings/profiles/1")).put("keyScope", "cell");
+            try (SidecarFixture sidecar = new SidecarFixture(json)) {
+                String order = SidecarFixture.postRequest("hold", "Idempotency-Key: k1\r\n", "x");
+                assertEquals(502, sidecar.exchange(order).status());
+                Target newServer = new Target(
+                        "s-new",
+                        server.address(),
+                        "b",
+                        "m",
+                        2,
+                        UpstreamState.READY,
+                        1,
+                        System.currentTimeMillis() - 60_000);
+                sidecar.loop
+                        .submit(() -> sidecar.engine.updateEndpoints(EndpointListKind.DELTA, List.of(newServer)))
+                        .sync();
+                assertEquals(
+                        502, sidecar.exchange(order.replace("9b1f", "next")).status());
+                assertEquals(1, executions.get());
+                assertEquals(
+                        200,
+                        sidecar.exchange(SidecarFixture.safeRequest("other")).status());
+            }
+        }
+    }
+
     /** Short fields hold far more memory than they have characters, so their number is bounded, too. */
     @Test
     void aHeadWithTooManyFieldsIsRejected() throws Exception {
