Fetch the full list when a watch is answered with an earlier revision

Callers could see: requests to servers that a restarted discovery service has never listed, for as long as its watch was open.

Cause: a discovery process that begins its revisions anew answers a watch from an older, higher revision with changes alone; these do not tell that other servers are gone. Only a switch of the address made the client fetch the full list.

Change: a first response whose revision is lower than the one asked from counts like a switch. A restarted service whose revision is already higher can't be told from the one before.

Measured: aWatchAnsweredWithAnEarlierRevisionIsFollowedByAFetchOfTheFullList passes; by its absence in the code of before it would wait in vain, which was not run.

--- a/src/main/java/pondridge/platform/DiscoveryClient.java
+++ b/src/main/java/pondridge/platform/DiscoveryClient.java
@@ -508,6 +508,11 @@
             boolean outdated = isOutdated(list);
             EndpointListKind kind = list.full() ? EndpointListKind.FULL : EndpointListKind.DELTA;
             requestLog.endpointListReceived(watching, list.revision(), outdated, kind, list.targets());
+            if (watching && !responded && list.revision() < initialRevision) {
+                // The revisions start again: another process answers, whose changes do not tell what it has never
+                // listed.
+                fullListPending = true;
+            }
             responded = true;
             extendObjectTimeout = false;
             updateTimeout();
--- a/src/test/java/pondridge/sidecar/DiscoveryClientTest.java
+++ b/src/test/java/pondridge/sidecar/DiscoveryClientTest.java
@@ -284,6 +284,27 @@
         }
     }
 
+    /**
+     * Guards against servers kept for ever that a restarted service has never listed: its changes alone do not tell that
+     * they are gone.
+     */
+    @Test
+    void aWatchAnsweredWithAnEarlierRevisionIsFollowedByAFetchOfTheFullList() throws Exception {
+        String fullList = "{\"rev\":3,\"all\":true,\"targets\":[" + entry("SERVING") + "]}";
+        try (StubServer restarted = new StubServer((socket, head) -> {
+            if (!head.contains("watch=1")) {
+                return StubServer.reply(socket, "200 OK", "", fullList);
+            }
+            StubServer.write(socket, CHUNKED + chunk("{\"rev\":3,\"all\":false,\"targets\":[]}\n"));
+            return true;
+        })) {
+            DiscoveryClient discovery = discovery(restarted);
+            loop.execute(() -> discovery.watch(true));
+            assertEquals(EndpointListKind.DELTA, StubServer.awaitNext(events).kind);
+            assertEquals(EndpointListKind.FULL, StubServer.awaitNext(events).kind);
+        }
+    }
+
     /** Requesting a watch again does not replace one that still waits for its first response. */
     @Test
     void aWatchWithoutAFirstResponseIsNotReplaced() throws Exception {
