Use a cold start lease only for the start it was granted for, and ignore connects of past exchanges

If the server had started again meanwhile, the lease was used for the new process, whose budget differs. And a connection to the store that was established after its exchange had timed out served the next exchange with the commands of the one before.

Change: a lease is dropped unless the server's start is still the one it was granted for; a connect belongs to its exchange.

Measured: the store's and leases' tests pass; neither fault was shown by a test or a process.

--- a/src/main/java/pondridge/store/ColdStartBudgets.java
+++ b/src/main/java/pondridge/store/ColdStartBudgets.java
@@ -20,7 +20,10 @@
     private final Engine engine;
     private final StoreSettings.LeaseSettings settings;
     private final Balancer.SafetyLimits limits;
-    private final Map<String, String> uidsByBudget = new HashMap<>();
+    /** A start of a server: a lease for an earlier start must not be used for a later one. */
+    private record BudgetOwner(String uid, long startedMillis) {}
+
+    private final Map<String, BudgetOwner> ownersByBudget = new HashMap<>();
 
     ColdStartBudgets(Engine engine, StoreSettings.LeaseSettings settings, Balancer.SafetyLimits limits) {
         this.engine = engine;
@@ -32,11 +35,11 @@
     public List<Budget> wantedBudgets(long slotNanos, long untilSlotNanos) {
         Map<String, Engine.ServerStart> started = engine.recentlyStarted(limits.rampNanos());
         if (started.isEmpty()) {
-            uidsByBudget.clear();
+            ownersByBudget.clear();
             return List.of();
         }
         List<Budget> wanted = new ArrayList<>();
-        uidsByBudget.clear();
+        ownersByBudget.clear();
         started.entrySet().stream()
                 .sorted(Comparator.comparingLong((Map.Entry<String, Engine.ServerStart> each) ->
                                 each.getValue().ageNanos())
@@ -46,7 +49,9 @@
                     String name =
                             NAME_PREFIX + each.getKey() + ':' + each.getValue().startedMs();
                     if (name.length() <= MAX_NAME_LENGTH) {
-                        uidsByBudget.put(name, each.getKey());
+                        ownersByBudget.put(
+                                name,
+                                new BudgetOwner(each.getKey(), each.getValue().startedMs()));
                         wanted.add(new Budget(
                                 name,
                                 capacity(
@@ -70,9 +75,13 @@
 
     @Override
     public void leaseGranted(String name, long count, long validNanos) {
-        String uid = uidsByBudget.get(name);
-        if (uid != null) {
-            engine.applyLeases(Map.of(uid, new Engine.Lease(count, (int) (validNanos / 1_000_000))));
+        BudgetOwner owner = ownersByBudget.get(name);
+        if (owner == null) {
+            return;
+        }
+        Engine.ServerStart current = engine.recentlyStarted(limits.rampNanos()).get(owner.uid);
+        if (current != null && current.startedMs() == owner.startedMillis) {
+            engine.applyLeases(Map.of(owner.uid, new Engine.Lease(count, (int) (validNanos / 1_000_000))));
         }
     }
 }
--- a/src/main/java/pondridge/store/StoreConnection.java
+++ b/src/main/java/pondridge/store/StoreConnection.java
@@ -54,6 +54,9 @@
     private int expectedReplies;
     private long receivedBytes;
     private Consumer<List<Object>> pendingCallback;
+    /** Number of the exchange that is open, or was last. */
+    private long exchange;
+
     private Future<?> timeout;
 
     StoreConnection(EventLoop loop, StoreSettings settings) {
@@ -67,6 +70,7 @@
      */
     void send(List<List<String>> commands, Consumer<List<Object>> callback) {
         pendingCallback = callback;
+        exchange++;
         timeout = loop.schedule(() -> complete(null), settings.timeoutNanos(), TimeUnit.NANOSECONDS);
         replies = new ArrayList<>();
         receivedBytes = 0;
@@ -78,6 +82,7 @@
     }
 
     private void connect(List<List<String>> commands) {
+        long connectedFor = exchange;
         new Bootstrap()
                 .group(loop)
                 .channel(NioSocketChannel.class)
@@ -106,10 +111,11 @@
                 })
                 .connect(settings.address())
                 .addListener((ChannelFutureListener) connected -> {
-                    if (!connected.isSuccess()) {
-                        complete(null);
-                    } else if (pendingCallback == null) {
+                    if (pendingCallback == null || connectedFor != exchange) {
+                        // That exchange has timed out; the connection's end is no concern of a later one.
                         connected.channel().close();
+                    } else if (!connected.isSuccess()) {
+                        complete(null);
                     } else {
                         channel = connected.channel();
                         List<List<String>> all = new ArrayList<>(commands);
