Forget servers that left the list long ago

Change: 4,096 servers that have left are kept, so that one that comes back is recognized; the oldest beyond them is forgotten. The other tables by name: classes and tenants come from the settings, event counters are an enum, gateway counters are by site; zone and kind numbers grow with the names that discovery uses, which was left.

Measured: manyServersThatCameAndWentAreForgotten passes (the requests still go to the listed servers); memory not measured.

--- a/src/main/java/pondridge/LoadBalancingPolicy.java
+++ b/src/main/java/pondridge/LoadBalancingPolicy.java
@@ -5,6 +5,8 @@
 import java.util.ArrayList;
 import java.util.Collections;
 import java.util.HashMap;
+import java.util.Iterator;
+import java.util.LinkedHashSet;
 import java.util.List;
 import java.util.Map;
 import java.util.Random;
@@ -643,7 +645,13 @@
         static final double MAX_LEASE_PERMITS = 1e6;
 
         static final int MAX_LEASE_MILLIS = 60_000;
+        /** How many servers that have left the list are kept, so that one that comes back is recognized. */
+        private static final int MAX_GONE_SERVERS = 4_096;
+
         private final TreeMap<Long, Server> servers = new TreeMap<>();
+        /** Ids of servers that have left the list, in the order in which they left. */
+        private final Set<Long> goneServers = new LinkedHashSet<>();
+
         private List<Server> readyServers = List.of();
         private boolean listReceived;
         /** After this time without any outcome a discovery call is replaced: 2 s are left for the next one. */
@@ -748,7 +756,9 @@
                 Server server = servers.get(id);
                 changed |= server.entry.state() == UpstreamState.READY;
                 server.entry = server.entry.asGone();
+                goneServers.add(id);
             }
+            forgetOldestGoneServers();
             listReceived = true;
             if (changed) {
                 readyServers = servers.values().stream()
@@ -758,8 +768,21 @@
             }
         }
 
+        private void forgetOldestGoneServers() {
+            Iterator<Long> oldestFirst = goneServers.iterator();
+            while (goneServers.size() > MAX_GONE_SERVERS) {
+                servers.remove(oldestFirst.next());
+                oldestFirst.remove();
+            }
+        }
+
         /** Applies one entry. Returns true if the set of ready servers changed. */
         private boolean update(long now, Upstream entry) {
+            if (entry.state() == UpstreamState.GONE) {
+                goneServers.add(entry.id());
+            } else {
+                goneServers.remove(entry.id());
+            }
             Server server = servers.get(entry.id());
             boolean wasReady = server != null && server.entry.state() == UpstreamState.READY;
             // A restarted process inherits neither the load nor the faults of the one before.
--- a/src/main/java/pondridge/core/Engine.java
+++ b/src/main/java/pondridge/core/Engine.java
@@ -8,6 +8,8 @@
 import java.util.ArrayList;
 import java.util.Collection;
 import java.util.HashMap;
+import java.util.Iterator;
+import java.util.LinkedHashSet;
 import java.util.List;
 import java.util.Map;
 import java.util.Objects;
@@ -46,6 +48,8 @@
     private static final int MAX_SLOWDOWN_ENTRIES = 256 / SLOWDOWN_ENTRY_BYTES;
     private static final int LEASE_ENTRY_BYTES = 16;
     private static final int MAX_LEASE_ENTRIES = 256 / LEASE_ENTRY_BYTES;
+    /** How many servers that have left the list keep their ids, so that one that comes back is recognized. */
+    private static final int MAX_GONE_SERVERS = 4_096;
 
     /** A request from its submission until the last of its attempts has ended. */
     private static final class OpenRequest {
@@ -192,6 +196,10 @@
     private final Transport transport;
     private final Map<Long, OpenRequest> openRequests = new HashMap<>();
     private final Map<String, Long> upstreamIds = new HashMap<>();
+    /** Names of servers that have left the list, in the order in which they left. */
+    private final Set<String> goneServers = new LinkedHashSet<>();
+
+    private long lastUpstreamId;
     private final Map<String, Integer> zoneNumbers = new HashMap<>();
     private final Map<String, Integer> kindNumbers = new HashMap<>();
     private final ArrayDeque<LongConsumer> pendingEvents = new ArrayDeque<>();
@@ -412,7 +420,11 @@
         Map<Long, Target> targetsById = new HashMap<>();
         Map<Long, Long> startMillisById = new HashMap<>();
         for (Target target : resolved) {
-            long id = upstreamIds.computeIfAbsent(target.uid(), uid -> upstreamIds.size() + 1L);
+            long id = upstreamIds.computeIfAbsent(target.uid(), uid -> ++lastUpstreamId);
+            goneServers.remove(target.uid());
+            if (target.state() == UpstreamState.GONE) {
+                goneServers.add(target.uid());
+            }
             targetsById.put(id, target);
             long startMillis = serverStarts.startOf(target.uid(), target.startedMs(), nowMillis);
             startMillisById.put(id, startMillis);
@@ -444,14 +456,28 @@
                 }
             });
             if (kind == EndpointListKind.FULL) {
-                upstreamIds.values().stream()
-                        .filter(id -> !targetsById.containsKey(id))
-                        .forEach(transport::removeEndpoint);
+                upstreamIds.forEach((uid, id) -> {
+                    if (!targetsById.containsKey(id)) {
+                        transport.removeEndpoint(id);
+                        goneServers.add(uid);
+                    }
+                });
             }
             balancer.endpointListChanged(now, kind, entries);
+            forgetOldestGoneServers();
         });
     }
 
+    private void forgetOldestGoneServers() {
+        Iterator<String> oldestFirst = goneServers.iterator();
+        while (goneServers.size() > MAX_GONE_SERVERS) {
+            String uid = oldestFirst.next();
+            oldestFirst.remove();
+            namesForLog.remove(upstreamIds.remove(uid));
+            serverStarts.forget(uid);
+        }
+    }
+
     /**
      * Discovery has switched to another service and calls it now.
      *
--- a/src/main/java/pondridge/core/ServerStartEstimate.java
+++ b/src/main/java/pondridge/core/ServerStartEstimate.java
@@ -47,6 +47,11 @@
         return tooOld ? nowMillis : Math.min(listedMillis, nowMillis);
     }
 
+    /** Forgets a server that left the list long ago. */
+    void forget(String uid) {
+        starts.remove(uid);
+    }
+
     /** A list from discovery, or a change to it, has been applied. A cached list may be of any age. */
     void listApplied(long nowMillis) {
         listReceived = true;
--- a/src/test/java/pondridge/LoadBalancingPolicyTest.java
+++ b/src/test/java/pondridge/LoadBalancingPolicyTest.java
@@ -285,6 +285,20 @@
         assertEquals(Set.of(0L, 1L), new HashSet<>(oneRotation(host, 12, 20)));
     }
 
+    /** Guards against memory that grows with each server that was ever listed; those in use are not affected. */
+    @Test
+    void manyServersThatCameAndWentAreForgotten() {
+        RecordingHost host = host(REPEATABLE).withUpstreams(3);
+        for (long id = 10; id < 20_000; id++) {
+            host.policy.endpointListChanged(host.now, EndpointListKind.DELTA, List.of(upstream(id)));
+            host.policy.endpointListChanged(
+                    host.now, EndpointListKind.DELTA, List.of(upstream(id, UpstreamState.GONE, 0)));
+        }
+        host.policy.endpointListChanged(
+                host.now, EndpointListKind.FULL, List.of(upstream(0), upstream(1), upstream(2)));
+        assertEquals(Set.of(0L, 1L, 2L), new HashSet<>(oneRotation(host, 12, 0)));
+    }
+
     @Test
     void failedSubscriptionKeepsTheListAndIsRetriedAtTheCallInterval() {
         RecordingHost host = new RecordingHost(settings(DiscoveryMode.SUBSCRIBE, REPEATABLE), 7).withUpstreams(3);
