--- a/src/main/java/pondridge/core/EndpointOwners.java
+++ b/src/main/java/pondridge/core/EndpointOwners.java
@@ -11,8 +11,9 @@
 
 /**
  * Which server is at each address. A list may still name a server that has gone while another one has been started at
- * its address: requests for the former would go to the latter, with the former's zone and cell, and beyond its cold start
- * budget. So of two servers listed at one address only the one that was started later counts. No I/O; not thread-safe.
+ * its address: requests for the former would go to the latter, with the former's zone and cell, and beyond its cold
+ * start budget. So of two servers listed at one address only the one that was started later counts. No I/O; not
+ * thread-safe.
  */
 final class EndpointOwners {
     private record Owner(Target target, long startMillis) {}
@@ -21,8 +22,8 @@
     private final Map<String, InetSocketAddress> addressesByUid = new HashMap<>();
 
     /**
-     * Applies a list, or a change to it. Returns the same targets, with those as gone that are at the address of a server
-     * started later, and in addition the ones as gone that these replace.
+     * Applies a list, or a change to it. Returns the same targets, with those as gone that are at the address of a
+     * server started later, and in addition the ones as gone that these replace.
      *
      * @param startMillis when a target was started; equal for those of which that is not known
      */
--- a/src/main/java/pondridge/core/SocketMonitor.java
+++ b/src/main/java/pondridge/core/SocketMonitor.java
@@ -18,8 +18,8 @@
      */
     private static final long AGE_TOLERANCE_NANOS = 40_000_000;
     /**
-     * Reads on demand until the socket is empty. A disconnect may lie behind all that the socket's receive buffer and the
-     * peer's send buffer hold, some megabytes; a client that still sends after that many reads is not gone.
+     * Reads on demand until the socket is empty. A disconnect may lie behind all that the socket's receive buffer and
+     * the peer's send buffer hold, some megabytes; a client that still sends after that many reads is not gone.
      */
     private static final int MAX_READS_ON_DEMAND = 1_024;
 
--- a/src/main/java/pondridge/http1/Frontend.java
+++ b/src/main/java/pondridge/http1/Frontend.java
@@ -647,8 +647,8 @@
         }
 
         /**
-         * Begins the next request in the next loop turn, so that one connection does not delay the others. Until then the
-         * connection stays in ANSWERED: it may hold complete requests, so it must not be closed as idle.
+         * Begins the next request in the next loop turn, so that one connection does not delay the others. Until then
+         * the connection stays in ANSWERED: it may hold complete requests, so it must not be closed as idle.
          */
         private void scheduleNextRequest() {
             if (!nextRequestScheduled) {
--- a/src/test/java/pondridge/core/EndpointOwnersTest.java
+++ b/src/test/java/pondridge/core/EndpointOwnersTest.java
@@ -10,8 +10,8 @@
 import pondridge.Balancer.UpstreamState;
 
 /**
- * Guards against a new server that is taken for the one before at its address: it got requests under both names, for the
- * wrong zone and beyond its cold start budget.
+ * Guards against a new server that is taken for the one before at its address: it got requests under both names, for
+ * the wrong zone and beyond its cold start budget.
  */
 class EndpointOwnersTest {
     private final EndpointOwners owners = new EndpointOwners();
--- a/src/test/java/pondridge/sidecar/DiscoveryClientTest.java
+++ b/src/test/java/pondridge/sidecar/DiscoveryClientTest.java
@@ -285,8 +285,8 @@
     }
 
     /**
-     * Guards against servers kept for ever that a restarted service has never listed: its changes alone do not tell that
-     * they are gone.
+     * Guards against servers kept for ever that a restarted service has never listed: its changes alone do not tell
+     * that they are gone.
      */
     @Test
     void aWatchAnsweredWithAnEarlierRevisionIsFollowedByAFetchOfTheFullList() throws Exception {
